--- /dev/null
+++ b/pkg/event/event.go
@@ -0,0 +1,50 @@
+// Package event defines the numbered log events and writes them through
+// zerolog. docs/EVENTS.md is the catalogue; make check fails when an event is
+// missing there.
+package event
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// ID is the number of a log event.
+type ID int
+
+// definition is one row of the catalogue.
+type definition struct {
+	name  string
+	level zerolog.Level
+}
+
+// Logger writes numbered events.
+type Logger struct {
+	z zerolog.Logger
+}
+
+// New returns a Logger that writes JSON lines to w, each naming the VM.
+func New(w io.Writer, vm string, level zerolog.Level) *Logger {
+	return &Logger{z: zerolog.New(w).Level(level).With().Timestamp().Str("vm", vm).Logger()}
+}
+
+// Discard returns a Logger that writes nothing.
+func Discard() *Logger { return &Logger{z: zerolog.Nop()} }
+
+// Log starts the line of an event. The caller adds fields and ends it with Send.
+func (l *Logger) Log(id ID) *zerolog.Event {
+	d := definitions[id]
+	return l.z.WithLevel(d.level).Int("event", int(id)).Str("name", d.name)
+}
+
+// Name returns the event's name as the catalogue spells it.
+func (id ID) Name() string { return definitions[id].name }
+
+// All returns every defined event with its name.
+func All() map[ID]string {
+	all := make(map[ID]string, len(definitions))
+	for id, d := range definitions {
+		all[id] = d.name
+	}
+	return all
+}
--- /dev/null
+++ b/pkg/event/events.go
@@ -0,0 +1,61 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Lifecycle events.
+const (
+	Started      ID = 101
+	Stopped      ID = 102
+	DrainStarted ID = 103
+	DrainEnded   ID = 104
+	StartFailed  ID = 105
+)
+
+// Request events.
+const (
+	RequestDone    ID = 201
+	RequestRefused ID = 202
+	RequestFailed  ID = 203
+)
+
+// Pipeline events.
+const (
+	AttemptStarted ID = 301
+	AttemptFailed  ID = 302
+	TokenDropped   ID = 303
+)
+
+// Log, settings and claim events.
+const (
+	LogUnavailable   ID = 401
+	LogBack          ID = 402
+	SettingsApplied  ID = 403
+	SettingsVoid     ID = 404
+	SnapshotWritten  ID = 405
+	SnapshotMismatch ID = 406
+	ClaimUnknown     ID = 407
+)
+
+var definitions = map[ID]definition{
+	Started:      {"started", zerolog.InfoLevel},
+	Stopped:      {"stopped", zerolog.InfoLevel},
+	DrainStarted: {"drain_started", zerolog.InfoLevel},
+	DrainEnded:   {"drain_ended", zerolog.InfoLevel},
+	StartFailed:  {"start_failed", zerolog.ErrorLevel},
+
+	RequestDone:    {"request_done", zerolog.InfoLevel},
+	RequestRefused: {"request_refused", zerolog.InfoLevel},
+	RequestFailed:  {"request_failed", zerolog.WarnLevel},
+
+	AttemptStarted: {"attempt_started", zerolog.DebugLevel},
+	AttemptFailed:  {"attempt_failed", zerolog.WarnLevel},
+	TokenDropped:   {"token_dropped", zerolog.WarnLevel},
+
+	LogUnavailable:   {"log_unavailable", zerolog.WarnLevel},
+	LogBack:          {"log_back", zerolog.InfoLevel},
+	SettingsApplied:  {"settings_applied", zerolog.InfoLevel},
+	SettingsVoid:     {"settings_void", zerolog.InfoLevel},
+	SnapshotWritten:  {"snapshot_written", zerolog.InfoLevel},
+	SnapshotMismatch: {"snapshot_mismatch", zerolog.ErrorLevel},
+	ClaimUnknown:     {"claim_outcome_unknown", zerolog.WarnLevel},
+}
--- /dev/null
+++ b/pkg/upstream/upstream.go
@@ -0,0 +1,206 @@
+// Package upstream defines the interfaces to upstreams (model engines and
+// plain services) and their HTTP clients.
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+// Error is a failed call to an upstream.
+type Error struct {
+	Upstream fleet.UpstreamID
+	// Sent is false only when it is certain that the upstream did not run the
+	// request: no connection was made, or it refused with a status that promises so.
+	Sent bool
+	// Status is the HTTP status, 0 when there was no answer.
+	Status int
+	// FailedStage names the stage of a chain that failed, where the head stage reported it.
+	FailedStage fleet.UpstreamID
+	Err         error
+}
+
+// Error formats the upstream, the status and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("upstream %s: status %d, sent %t: %v", e.Upstream, e.Status, e.Sent, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Role is what an engine does.
+type Role string
+
+// The roles of an engine.
+const (
+	RoleIdle  Role = "idle"
+	RoleServe Role = "serve"
+)
+
+// Assignment is the wanted or reported load of an engine.
+type Assignment struct {
+	Role     Role             `json:"role"`
+	Model    fleet.ModelID    `json:"model"`
+	Version  string           `json:"version"`
+	Layers   fleet.LayerRange `json:"layers"`
+	Adapters []string         `json:"adapters,omitempty"`
+}
+
+// EngineState is an engine's report about itself. It lags behind.
+type EngineState struct {
+	Upstream   fleet.UpstreamID `json:"upstream"`
+	Assignment Assignment       `json:"assignment"`
+	// Loading is set while the engine loads what it was ordered to.
+	Loading bool `json:"loading"`
+	// Epoch is the highest fencing number of an order that the engine accepted.
+	Epoch uint64 `json:"epoch"`
+	// Leaving is set when the upstream announces a planned stop.
+	Leaving bool `json:"leaving"`
+	// Running and Waiting count generations; Slots is the batch limit.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
+	// Incarnation changes when the engine restarts; its KV caches are gone then.
+	Incarnation string    `json:"incarnation"`
+	ReportedAt  time.Time `json:"reported_at"`
+}
+
+// StageRef names one stage of a chain.
+type StageRef struct {
+	Upstream fleet.UpstreamID `json:"upstream"`
+	// Address is where the preceding stage reaches this one, as IP:port.
+	Address string `json:"address"`
+	// Layers must equal the engine's assigned range, otherwise it refuses.
+	Layers fleet.LayerRange `json:"layers"`
+	// KeepKV asks the stage to keep the session's KV cache up to the start
+	// position. Otherwise the stage starts from an empty cache.
+	KeepKV bool `json:"keep_kv"`
+}
+
+// GenerateRequest opens an attempt of a session on the head stage.
+type GenerateRequest struct {
+	Session string `json:"session"`
+	// Attempt counts from 1. A stage refuses an attempt lower than the highest it has seen.
+	Attempt int           `json:"attempt"`
+	Model   fleet.ModelID `json:"model"`
+	Version string        `json:"version"`
+	Adapter string        `json:"adapter,omitempty"`
+	Chain   []StageRef    `json:"chain"`
+	// Tokens are the prompt and the tokens that the caller already has.
+	Tokens []fleet.Token `json:"tokens"`
+	// PromptLen is the number of prompt tokens at the head of Tokens.
+	PromptLen int `json:"prompt_len"`
+	// StartPosition is the first position to run; earlier ones are in the kept or imported KV caches.
+	StartPosition int `json:"start_position"`
+	// MaxTokens limits the generated tokens of the whole session.
+	MaxTokens int        `json:"max_tokens"`
+	Rank      fleet.Rank `json:"rank"`
+}
+
+// Receipt states that a stage ran its layers for one position.
+type Receipt struct {
+	Upstream fleet.UpstreamID `json:"u"`
+	Layers   fleet.LayerRange `json:"l"`
+}
+
+// TokenEvent is one event of a token stream.
+type TokenEvent struct {
+	Session string `json:"session"`
+	Attempt int    `json:"attempt"`
+	// Index counts the generated tokens of the session from 0.
+	Index    int         `json:"index"`
+	Token    fleet.Token `json:"token"`
+	Receipts []Receipt   `json:"receipts,omitempty"`
+	// Final marks the event that ends the session; it carries no token and Index is the count of tokens.
+	Final bool `json:"final,omitempty"`
+	// FinishReason is "stop" or "length" on the final event.
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// TokenStream is an open generation.
+type TokenStream interface {
+	// Next returns the next event. It returns *Error when the stream broke, also
+	// when the engine closed it without a final event.
+	Next(ctx context.Context) (TokenEvent, error)
+	// Close cancels the generation if it has not ended. It is safe to call twice.
+	Close() error
+}
+
+// SessionProgress is what a stage knows of a session.
+type SessionProgress struct {
+	Session string `json:"session"`
+	Attempt int    `json:"attempt"`
+	// NextPosition is the first position that the stage has not run.
+	NextPosition int `json:"next_position"`
+}
+
+// KVCache is the exported KV cache of one stage for one session.
+type KVCache struct {
+	Session string           `json:"session"`
+	Model   fleet.ModelID    `json:"model"`
+	Version string           `json:"version"`
+	Layers  fleet.LayerRange `json:"layers"`
+	// Positions is the number of positions that the cache covers.
+	Positions int    `json:"positions"`
+	Data      []byte `json:"data"`
+}
+
+// Order is an absolute order to an engine: its whole wanted assignment.
+type Order struct {
+	// Epoch is the fencing number: the epoch of the lease under which the order is given.
+	Epoch  uint64     `json:"epoch"`
+	Wanted Assignment `json:"wanted"`
+}
+
+// CacheEvent states that an engine added or dropped a prompt prefix in its cache.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	// PrefixHash is the hash of a block of prompt tokens chained with the blocks before it.
+	PrefixHash uint64 `json:"prefix_hash"`
+	Dropped    bool   `json:"dropped"`
+}
+
+// CacheEventBatch is a page of cache events. Gaps show in the sequence numbers.
+type CacheEventBatch struct {
+	Events []CacheEvent `json:"events"`
+	Next   uint64       `json:"next"`
+}
+
+// Engine is a model engine that holds a layer range.
+type Engine interface {
+	State(ctx context.Context) (EngineState, error)
+	Generate(ctx context.Context, req GenerateRequest) (TokenStream, error)
+	Progress(ctx context.Context, session string) (SessionProgress, error)
+	Cancel(ctx context.Context, session string, attempt int) error
+	ExportKV(ctx context.Context, session string, positions int) (KVCache, error)
+	ImportKV(ctx context.Context, cache KVCache) error
+	Order(ctx context.Context, order Order) error
+	CacheEvents(ctx context.Context, after uint64) (CacheEventBatch, error)
+}
+
+// ServiceRequest is a call to a plain service.
+type ServiceRequest struct {
+	RequestID fleet.RequestID
+	Route     fleet.RouteID
+	Team      fleet.TeamID
+	// Key is the idempotency key, empty for repeatable calls without one.
+	Key  string
+	Body []byte
+}
+
+// ServiceResponse is the answer of a plain service.
+type ServiceResponse struct {
+	RequestID   fleet.RequestID
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Service is one server of a plain service.
+type Service interface {
+	// Call sends the request once. Implementations never retry.
+	Call(ctx context.Context, req ServiceRequest) (ServiceResponse, error)
+}
