--- /dev/null
+++ b/pkg/stats/stats.go
@@ -0,0 +1,131 @@
+// Package stats holds the router's counters and latency histograms. Counters
+// exist for every reason of a refusal and of a retry.
+package stats
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/result"
+)
+
+// Samples kept by a latency histogram, and the weight of recent ones. The pair
+// keeps the last five minutes or so (the defaults of go-metrics' documentation).
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// Stats is the set of metrics of one VM. It is safe for concurrent use.
+type Stats struct {
+	registry metrics.Registry
+}
+
+// New returns an empty set of metrics.
+func New() *Stats { return &Stats{registry: metrics.NewRegistry()} }
+
+// Refused counts a refusal by its code, and by team.
+func (s *Stats) Refused(team fleet.TeamID, rank fleet.Rank, code result.Code) {
+	s.count("refused", "code", code.Name(), "rank", rank.String())
+	s.count("refused_team", "team", string(team), "code", code.Name())
+}
+
+// Retried counts a retry by its reason.
+func (s *Stats) Retried(reason string) { s.count("retried", "reason", reason) }
+
+// Done counts a request that was answered whole and records its duration.
+func (s *Stats) Done(team fleet.TeamID, rank fleet.Rank, d time.Duration) {
+	s.count("done", "team", string(team), "rank", rank.String())
+	s.observe("request_ms", d, "rank", rank.String())
+	s.observe("request_team_ms", d, "team", string(team))
+}
+
+// FirstToken records the time from arrival to the first token.
+func (s *Stats) FirstToken(team fleet.TeamID, rank fleet.Rank, d time.Duration) {
+	s.observe("first_token_ms", d, "rank", rank.String())
+	s.observe("first_token_team_ms", d, "team", string(team))
+}
+
+// BetweenTokens records the time between two tokens of a stream.
+func (s *Stats) BetweenTokens(rank fleet.Rank, d time.Duration) {
+	s.observe("between_tokens_ms", d, "rank", rank.String())
+}
+
+// Queued records the time that a request waited for its start.
+func (s *Stats) Queued(rank fleet.Rank, d time.Duration) {
+	s.observe("queued_ms", d, "rank", rank.String())
+}
+
+// Count adds one to a counter named by label pairs.
+func (s *Stats) Count(name string, labels ...string) { s.count(name, labels...) }
+
+// Gauge sets a value.
+func (s *Stats) Gauge(name string, value int64, labels ...string) {
+	metrics.GetOrRegisterGauge(key(name, labels), s.registry).Update(value)
+}
+
+func (s *Stats) count(name string, labels ...string) {
+	metrics.GetOrRegisterCounter(key(name, labels), s.registry).Inc(1)
+}
+
+func (s *Stats) observe(name string, d time.Duration, labels ...string) {
+	newSample := func() metrics.Sample { return metrics.NewExpDecaySample(reservoirSize, reservoirAlpha) }
+	h := s.registry.GetOrRegister(key(name, labels), func() metrics.Histogram { return metrics.NewHistogram(newSample()) })
+	h.(metrics.Histogram).Update(d.Milliseconds())
+}
+
+// key returns name{k="v",...}, the form in which WriteText prints it.
+func key(name string, labels []string) string {
+	if len(labels) == 0 {
+		return "cornelline_" + name
+	}
+	pairs := make([]string, 0, len(labels)/2)
+	for i := 0; i+1 < len(labels); i += 2 {
+		pairs = append(pairs, fmt.Sprintf("%s=%q", labels[i], labels[i+1]))
+	}
+	return "cornelline_" + name + "{" + strings.Join(pairs, ",") + "}"
+}
+
+// quantiles are those printed for each histogram.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// WriteText writes all metrics in the Prometheus text format. A non-empty team
+// limits the output to the metrics that carry this team's label.
+func (s *Stats) WriteText(w io.Writer, team fleet.TeamID) error {
+	lines := []string{}
+	s.registry.Each(func(name string, metric any) {
+		if team == "" || strings.Contains(name, fmt.Sprintf("team=%q", string(team))) {
+			lines = append(lines, format(name, metric)...)
+		}
+	})
+	sort.Strings(lines)
+	_, err := io.WriteString(w, strings.Join(lines, ""))
+	return err
+}
+
+func format(name string, metric any) []string {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s %d\n", name, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d\n", name, m.Value())}
+	case metrics.Histogram:
+		return formatHistogram(name, m.Snapshot())
+	}
+	return nil
+}
+
+func formatHistogram(name string, h metrics.Histogram) []string {
+	base, labels, _ := strings.Cut(strings.TrimSuffix(name, "}"), "{")
+	lines := []string{fmt.Sprintf("%s_count{%s} %d\n", base, labels, h.Count())}
+	for i, v := range h.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s{%s,quantile=\"%g\"} %.0f\n", base, labels, quantiles[i], v))
+	}
+	return lines
+}
