--- /dev/null
+++ b/pkg/admission/pipeline.go
@@ -0,0 +1,199 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+// rateHalfLife is how fast measured rates follow a change.
+const rateHalfLife = 5 * time.Second
+
+// peakHalfLife is how fast the slots kept for a rank are given up after its demand fell.
+const peakHalfLife = 30 * time.Second
+
+// pipeline is the queue and the in-flight account of one model.
+type pipeline struct {
+	slots    int
+	declared float64 // Capacity.Rate
+	ranks    [fleet.RankCount]rankQueue
+	inFlight [fleet.RankCount]int
+	total    int
+	// credit is the cost owed to a backlogged rank under its guaranteed share.
+	credit [fleet.RankCount]float64
+	// peak is the recent maximum of slots in use by a rank.
+	peak [fleet.RankCount]float64
+	// used is the recent started cost of a rank, decaying by rateHalfLife.
+	used [fleet.RankCount]float64
+	// doneCost and doneTime are decaying sums over finished requests.
+	doneCost, doneTime float64
+	decayedAt          time.Time
+	sweptRate          float64
+}
+
+func newPipeline(now time.Time, slotRate float64) *pipeline {
+	p := &pipeline{doneCost: slotRate * 10, doneTime: 10, decayedAt: now}
+	for r := range p.ranks {
+		p.ranks[r].teams = make(map[fleet.TeamID]*team)
+	}
+	return p
+}
+
+// decay ages the measured sums to now.
+func (p *pipeline) decay(now time.Time) {
+	dt := now.Sub(p.decayedAt)
+	if dt <= 0 {
+		return
+	}
+	p.decayedAt = now
+	peak := math.Exp2(-float64(dt) / float64(peakHalfLife))
+	rate := math.Exp2(-float64(dt) / float64(rateHalfLife))
+	for r := range p.peak {
+		p.peak[r] = max(p.peak[r]*peak, float64(p.inFlight[r]))
+		p.used[r] *= rate
+	}
+	// A floor keeps the last measured rate while nothing finishes.
+	if p.doneTime > 1 {
+		p.doneCost *= rate
+		p.doneTime *= rate
+	}
+}
+
+// slotRate returns the measured cost units per second of one slot.
+func (p *pipeline) slotRate() float64 { return p.doneCost / p.doneTime }
+
+// rate returns the cost units per second of this VM's slots.
+func (p *pipeline) rate() float64 {
+	r := float64(p.slots) * p.slotRate()
+	if p.declared > 0 {
+		r = min(r, p.declared)
+	}
+	return r
+}
+
+// usedRate returns the recent started cost per second of a rank.
+func (p *pipeline) usedRate(r fleet.Rank) float64 {
+	return p.used[r] * math.Ln2 / rateHalfLife.Seconds()
+}
+
+// rankRate predicts the cost units per second that rank r gets while backlogged:
+// what the others leave, at least its guaranteed share. A lower rank takes no
+// more than its guarantee from a higher one.
+func (p *pipeline) rankRate(cfg *Config, r fleet.Rank) float64 {
+	total := p.rate()
+	left := total
+	for k := range fleet.Rank(fleet.RankCount) {
+		if k == r {
+			continue
+		}
+		used := p.usedRate(k)
+		if k > r {
+			used = min(used, cfg.Shares[k]*total)
+		}
+		left -= used
+	}
+	return max(left, cfg.Shares[r]*total)
+}
+
+// reserve returns the slots kept for rank r against other ranks.
+func (p *pipeline) reserve(cfg *Config, r fleet.Rank) int {
+	if r == fleet.Overnight || p.peak[r] < 0.01 {
+		return 0
+	}
+	want := p.peak[r] + math.Max(1, cfg.Headroom*float64(p.slots))
+	return int(min(want, cfg.Shares[r]*float64(p.slots)))
+}
+
+// allowed reports whether rank r may start another request. A rank that is owed
+// its guaranteed share may use the extra depth and other ranks' reserves.
+func (p *pipeline) allowed(cfg *Config, r fleet.Rank, owed bool) bool {
+	if p.slots <= 0 {
+		return false
+	}
+	limit := p.slots
+	if r == fleet.Urgent || owed {
+		limit += cfg.Depth
+	}
+	if p.total >= limit {
+		return false
+	}
+	if owed {
+		return true
+	}
+	kept := 0
+	for k := range fleet.Rank(fleet.RankCount) {
+		if k != r {
+			kept += max(0, p.reserve(cfg, k)-p.inFlight[k])
+		}
+	}
+	return p.total+kept < limit
+}
+
+// next returns the entry to start now, nil when none may start.
+func (p *pipeline) next(cfg *Config, now time.Time) *entry {
+	if cfg.Order != Fair {
+		return p.nextBaseline()
+	}
+	if e := p.nextOwed(cfg); e != nil {
+		return e
+	}
+	for r := range fleet.Rank(fleet.RankCount) {
+		if e := p.ranks[r].head(); e != nil && p.allowed(cfg, r, false) {
+			return e
+		}
+	}
+	return nil
+}
+
+// nextOwed returns the head of the rank that is owed the most, if any may start.
+func (p *pipeline) nextOwed(cfg *Config) *entry {
+	var best *entry
+	most := 0.0
+	for r := range fleet.Rank(fleet.RankCount) {
+		e := p.ranks[r].head()
+		if e == nil || p.credit[r] < e.req.Cost || p.credit[r] <= most {
+			continue
+		}
+		if p.allowed(cfg, r, true) {
+			best, most = e, p.credit[r]
+		}
+	}
+	return best
+}
+
+// nextBaseline returns the head of the first backlogged rank without any reserve.
+func (p *pipeline) nextBaseline() *entry {
+	if p.total >= p.slots {
+		return nil
+	}
+	for r := range p.ranks {
+		if e := p.ranks[r].head(); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// account books the start of an entry: guaranteed credits, use and in-flight counts.
+func (p *pipeline) account(cfg *Config, e *entry, overnightShare float64) {
+	cost := e.req.Cost
+	for r := range p.credit {
+		share := cfg.Shares[r]
+		if fleet.Rank(r) == fleet.Overnight {
+			share = overnightShare
+		}
+		if p.ranks[r].queued == 0 {
+			p.credit[r] = min(p.credit[r], 0) // an idle rank accrues no credit
+			continue
+		}
+		// One second of the share bounds how long a rank may be favoured later.
+		p.credit[r] = min(p.credit[r]+share*cost, max(share*p.rate(), 2*cost))
+	}
+	r := e.req.Rank
+	p.credit[r] = max(p.credit[r]-cost, -2*cost)
+	p.used[r] += cost
+	p.inFlight[r]++
+	p.total++
+	p.peak[r] = max(p.peak[r], float64(p.inFlight[r]))
+}
--- /dev/null
+++ b/pkg/outlier/outlier.go
@@ -0,0 +1,388 @@
+// Package outlier detects upstreams that fail or lag behind their peers and
+// ejects them for a time. It is a pure state machine: observations and a time
+// go in, actions come out.
+//
+// Invariants:
+//   - failures and latency never eject more than MaxEjected of the upstreams
+//     with the same duty, nor the last chain that covers a model's layers;
+//   - only a refused connection that a probe confirms ejects the last chain: that
+//     upstream is down, so keeping it serves nobody;
+//   - an upstream whose connection went silent is probed over a new connection
+//     before it is blamed;
+//   - an ejected upstream returns only after a successful probe, and its weight
+//     then rises gradually.
+package outlier
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+// Config holds the limits of a Detector.
+type Config struct {
+	// Consecutive is the number of failures in a row that ejects.
+	Consecutive int
+	// LatencyFactor ejects an upstream whose mean latency is more than this
+	// multiple of the median of its peers.
+	LatencyFactor float64
+	// MinSamples is the observations needed before latency is judged.
+	MinSamples int
+	// MaxEjected bounds the ejected fraction of upstreams with the same duty.
+	MaxEjected float64
+	// BaseEjection is the time of the first ejection; each one soon after doubles it.
+	BaseEjection time.Duration
+	MaxEjection  time.Duration
+	// Ramp is the time over which a returning upstream's weight rises to 1.
+	Ramp time.Duration
+	// ProbeTimeout is how long a probe may stay unanswered before the upstream is blamed.
+	ProbeTimeout time.Duration
+}
+
+// DefaultConfig returns the documented defaults.
+func DefaultConfig() Config {
+	return Config{
+		Consecutive: 3, LatencyFactor: 3, MinSamples: 20, MaxEjected: 0.5,
+		BaseEjection: 2 * time.Second, MaxEjection: 2 * time.Minute,
+		Ramp: 10 * time.Second, ProbeTimeout: 500 * time.Millisecond,
+	}
+}
+
+// Member describes an upstream's duty: a layer range of a model, or a route.
+type Member struct {
+	ID     fleet.UpstreamID
+	Model  fleet.ModelID
+	Layers fleet.LayerRange
+	// ModelLayers is the number of layers of the model, 0 for a server of a plain service.
+	ModelLayers int
+	Route       fleet.RouteID
+}
+
+type duty struct {
+	model  fleet.ModelID
+	layers fleet.LayerRange
+	route  fleet.RouteID
+}
+
+func (m Member) duty() duty { return duty{m.Model, m.Layers, m.Route} }
+
+// Reason says why an upstream was ejected.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonRefused Reason = iota
+	ReasonFailures
+	ReasonLatency
+	ReasonSilent
+)
+
+var reasonNames = [...]string{"connection refused", "consecutive failures", "latency", "silent"}
+
+// String returns the reason's name.
+func (r Reason) String() string { return reasonNames[r] }
+
+// ActionKind says what to do with an upstream.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	// Eject stops new work on the upstream.
+	Eject ActionKind = iota
+	// Probe asks for a probe over a new connection, answered by Probed.
+	Probe
+	// Return lets the upstream take work again with Weight.
+	Return
+	// Spared reports that the cap kept an upstream that would have been ejected.
+	Spared
+)
+
+// Action is a decision about one upstream.
+type Action struct {
+	Kind     ActionKind
+	Upstream fleet.UpstreamID
+	Reason   Reason
+	// Weight is set on Return: the fraction of normal work.
+	Weight float64
+}
+
+type phase uint8
+
+const (
+	healthy phase = iota
+	ejected
+	returning
+)
+
+type state struct {
+	member    Member
+	phase     phase
+	failures  int // consecutive
+	mean      float64
+	samples   int
+	ejections int
+	until     time.Time // end of the ejection
+	since     time.Time // start of the return
+	cleanAt   time.Time // last ejection ended
+	probing   bool
+	probedAt  time.Time
+	why       Reason // why the running probe was asked for
+	weight    float64
+}
+
+// Detector holds the health of all upstreams of one entry VM. It is not safe
+// for concurrent use.
+type Detector struct {
+	cfg   Config
+	ups   map[fleet.UpstreamID]*state
+	order []*state // by id, for deterministic actions
+}
+
+// New returns a detector without members.
+func New(cfg Config) *Detector {
+	return &Detector{cfg: cfg, ups: make(map[fleet.UpstreamID]*state)}
+}
+
+// SetConfig replaces the limits and keeps the state.
+func (d *Detector) SetConfig(cfg Config) { d.cfg = cfg }
+
+// SetMembers replaces the known upstreams and keeps the state of those that stay.
+func (d *Detector) SetMembers(members []Member) {
+	kept := make(map[fleet.UpstreamID]*state, len(members))
+	d.order = d.order[:0]
+	for _, m := range members {
+		u := d.ups[m.ID]
+		if u == nil {
+			u = &state{weight: 1}
+		}
+		if u.member.duty() != m.duty() {
+			u.mean, u.samples = 0, 0
+		}
+		u.member = m
+		kept[m.ID] = u
+		d.order = append(d.order, u)
+	}
+	d.ups = kept
+	slices.SortFunc(d.order, func(a, b *state) int { return cmp.Compare(a.member.ID, b.member.ID) })
+}
+
+// Succeeded books a success with its latency (per stage step or per call).
+func (d *Detector) Succeeded(now time.Time, id fleet.UpstreamID, latency time.Duration, out []Action) []Action {
+	u := d.ups[id]
+	if u == nil {
+		return out
+	}
+	u.failures = 0
+	u.samples++
+	// An exponential mean over about MinSamples observations.
+	weight := max(1/float64(u.samples), 1/float64(max(d.cfg.MinSamples, 1)))
+	u.mean += (latency.Seconds() - u.mean) * weight
+	return out
+}
+
+// Failed books a failure of a request that was sent.
+func (d *Detector) Failed(now time.Time, id fleet.UpstreamID, out []Action) []Action {
+	u := d.ups[id]
+	if u == nil {
+		return out
+	}
+	u.failures++
+	if u.phase == returning || u.failures >= d.cfg.Consecutive {
+		return d.eject(now, u, ReasonFailures, false, out)
+	}
+	return out
+}
+
+// Refused books a refused connection: the upstream is not there, so it is
+// ejected at once. When it belongs to the last chain, a probe decides.
+func (d *Detector) Refused(now time.Time, id fleet.UpstreamID, out []Action) []Action {
+	u := d.ups[id]
+	if u == nil || u.phase == ejected {
+		return out
+	}
+	if d.lastWay(u) {
+		return d.probe(now, u, ReasonRefused, out)
+	}
+	return d.eject(now, u, ReasonRefused, true, out)
+}
+
+// Silent books a connection that went silent; the upstream is probed before it is blamed.
+func (d *Detector) Silent(now time.Time, id fleet.UpstreamID, out []Action) []Action {
+	u := d.ups[id]
+	if u == nil || u.phase == ejected {
+		return out
+	}
+	return d.probe(now, u, ReasonSilent, out)
+}
+
+// Probed books the answer of a probe over a new connection.
+func (d *Detector) Probed(now time.Time, id fleet.UpstreamID, ok bool, out []Action) []Action {
+	u := d.ups[id]
+	if u == nil || !u.probing {
+		return out
+	}
+	u.probing = false
+	if !ok {
+		return d.eject(now, u, u.why, true, out)
+	}
+	u.failures = 0
+	if u.phase != ejected {
+		return out // the connection was at fault, not the upstream
+	}
+	u.phase, u.since = returning, now
+	u.mean, u.samples = 0, 0
+	return d.ramp(now, u, out)
+}
+
+// Tick ends ejections, raises weights, judges latencies and times out probes. It
+// is called about once a second; probe timeouts are as exact as its calls.
+func (d *Detector) Tick(now time.Time, out []Action) []Action {
+	for _, u := range d.order {
+		switch {
+		case u.probing && now.Sub(u.probedAt) >= d.cfg.ProbeTimeout:
+			u.probing = false
+			out = d.eject(now, u, u.why, true, out)
+		case u.phase == ejected && !u.probing && !now.Before(u.until):
+			out = d.probe(now, u, u.why, out)
+		case u.phase == returning:
+			out = d.ramp(now, u, out)
+		case u.ejections > 0 && now.Sub(u.cleanAt) > d.cfg.MaxEjection:
+			u.ejections = 0
+		}
+	}
+	return d.judgeLatency(now, out)
+}
+
+// Ejected reports whether the upstream takes no new work.
+func (d *Detector) Ejected(id fleet.UpstreamID) bool {
+	u := d.ups[id]
+	return u != nil && u.phase == ejected
+}
+
+// Weight returns the fraction of normal work that the upstream takes: 0 while
+// ejected, rising to 1 while it returns.
+func (d *Detector) Weight(id fleet.UpstreamID) float64 {
+	u := d.ups[id]
+	switch {
+	case u == nil:
+		return 1
+	case u.phase == ejected:
+		return 0
+	}
+	return u.weight
+}
+
+func (d *Detector) probe(now time.Time, u *state, why Reason, out []Action) []Action {
+	if u.probing {
+		return out
+	}
+	u.probing, u.probedAt, u.why = true, now, why
+	return append(out, Action{Kind: Probe, Upstream: u.member.ID, Reason: why})
+}
+
+// eject takes the upstream out of service. Confirmed is set when a refused
+// connection or a probe shows that it is down; the cap then does not apply.
+func (d *Detector) eject(now time.Time, u *state, why Reason, confirmed bool, out []Action) []Action {
+	if !confirmed && u.phase != ejected && (d.overCap(u) || d.lastWay(u)) {
+		u.failures = 0
+		return append(out, Action{Kind: Spared, Upstream: u.member.ID, Reason: why})
+	}
+	again := u.phase == ejected
+	u.phase, u.why = ejected, why
+	u.until = now.Add(min(d.cfg.BaseEjection<<min(u.ejections, 16), d.cfg.MaxEjection))
+	u.cleanAt = u.until
+	u.ejections++
+	u.failures = 0
+	if again {
+		return out
+	}
+	return append(out, Action{Kind: Eject, Upstream: u.member.ID, Reason: why})
+}
+
+// ramp raises the weight of a returning upstream from a tenth to 1.
+func (d *Detector) ramp(now time.Time, u *state, out []Action) []Action {
+	u.weight = 0.1 + 0.9*min(1, float64(now.Sub(u.since))/float64(max(d.cfg.Ramp, 1)))
+	if u.weight >= 1 {
+		u.phase, u.cleanAt = healthy, now
+	}
+	return append(out, Action{Kind: Return, Upstream: u.member.ID, Weight: u.weight})
+}
+
+// overCap reports whether ejecting u would exceed MaxEjected for its duty.
+func (d *Detector) overCap(u *state) bool {
+	all, out := 0, 1
+	for _, o := range d.order {
+		if o.member.duty() != u.member.duty() {
+			continue
+		}
+		all++
+		if o.phase == ejected {
+			out++
+		}
+	}
+	return float64(out) > d.cfg.MaxEjected*float64(all)
+}
+
+// lastWay reports whether without u no way is left: no server of its route, or
+// no chain over its model's layers.
+func (d *Detector) lastWay(u *state) bool {
+	if u.member.ModelLayers == 0 {
+		for _, o := range d.order {
+			if o != u && o.phase != ejected && o.member.Route == u.member.Route && o.member.ModelLayers == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	return d.covers(u.member, nil) && !d.covers(u.member, u)
+}
+
+// covers reports whether the members in service, other than without, form a
+// chain over the model of m.
+func (d *Detector) covers(m Member, without *state) bool {
+	reached := make([]bool, m.ModelLayers+1)
+	reached[0] = true
+	for at := range m.ModelLayers {
+		if !reached[at] {
+			continue
+		}
+		for _, o := range d.order {
+			l := o.member.Layers
+			if o != without && o.phase != ejected && o.member.Model == m.Model && l.First == at && l.End > at && l.End <= m.ModelLayers {
+				reached[l.End] = true
+			}
+		}
+	}
+	return reached[m.ModelLayers]
+}
+
+// minPeers is the number of peers with a measured latency that a median needs.
+const minPeers = 3
+
+// judgeLatency ejects healthy upstreams that are far slower than the median of
+// their peers with the same duty.
+func (d *Detector) judgeLatency(now time.Time, out []Action) []Action {
+	means := make(map[duty][]float64)
+	for _, u := range d.order {
+		if u.phase != ejected && u.samples >= d.cfg.MinSamples {
+			k := u.member.duty()
+			means[k] = append(means[k], u.mean)
+		}
+	}
+	for _, m := range means {
+		slices.Sort(m)
+	}
+	for _, u := range d.order {
+		peers := means[u.member.duty()]
+		if u.phase == ejected || u.samples < d.cfg.MinSamples || len(peers) < minPeers {
+			continue
+		}
+		if u.mean > d.cfg.LatencyFactor*peers[(len(peers)-1)/2] {
+			u.samples, u.mean = 0, 0
+			out = d.eject(now, u, ReasonLatency, false, out)
+		}
+	}
+	return out
+}
