--- /dev/null
+++ b/pkg/entry/control.go
@@ -0,0 +1,393 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/admission"
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/outlier"
+	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/route"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// Periods of the control goroutine.
+const (
+	// controlTick is the step of membership, outlier detection and publishing.
+	controlTick = 100 * time.Millisecond
+	// vmListPoll is how often the platform's VM list is read. It lags by
+	// seconds anyway; the engines' own reports are polled more often.
+	vmListPoll = 2 * time.Second
+)
+
+// controlQueue is the number of events that may wait for the control goroutine.
+const controlQueue = 4096
+
+// fleetView is what request goroutines read. It is immutable but for the
+// counters in route.Load.
+type fleetView struct {
+	routes  *route.Snapshot
+	engines map[fleet.UpstreamID]upstream.Engine
+	members membership.View
+	// expected is each engine's expected time for one token.
+	expected  map[fleet.UpstreamID]time.Duration
+	upstreams []upstreamStatus
+}
+
+// upstreamStatus is one upstream as GET /v1/status shows it.
+type upstreamStatus struct {
+	Upstream fleet.UpstreamID   `json:"upstream"`
+	Kind     string             `json:"kind"`
+	Address  string             `json:"address"`
+	Model    fleet.ModelID      `json:"model,omitempty"`
+	Layers   string             `json:"layers,omitempty"`
+	Ready    bool               `json:"ready"`
+	Leaving  bool               `json:"leaving"`
+	Ejected  bool               `json:"ejected"`
+	Weight   float64            `json:"weight"`
+	Own      int                `json:"in_flight_here"`
+	Queue    float64            `json:"queue_estimate"`
+	Epoch    uint64             `json:"epoch,omitempty"`
+	DC       fleet.DataCentreID `json:"data_centre"`
+}
+
+// control owns all control state. Its fields are touched by the goroutine of
+// run only, except for events and view.
+type control struct {
+	server     *Server
+	events     chan func(now time.Time)
+	view       atomic.Pointer[fleetView]
+	conditions map[fleet.UpstreamID]*condition
+	detector   *outlier.Detector
+	members    *membership.Machine
+	actions    []outlier.Action
+	dirty      bool
+	done       chan struct{}
+}
+
+func newControl(s *Server, now time.Time) *control {
+	c := &control{
+		server:     s,
+		events:     make(chan func(time.Time), controlQueue),
+		conditions: map[fleet.UpstreamID]*condition{},
+		detector:   outlier.New(outlier.DefaultConfig()),
+		done:       make(chan struct{}),
+	}
+	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), hashOf(string(s.cfg.VM))))
+	c.members = membership.New(membership.Config{Self: s.self, Incarnation: uint64(now.UnixMilli()), Seeds: s.cfg.Seeds}, now, random)
+	c.publish(now)
+	return c
+}
+
+// post hands an event to the control goroutine. It never blocks a request: when
+// the queue is full the event is dropped and counted.
+func (c *control) post(f func(now time.Time)) {
+	select {
+	case c.events <- f:
+	default:
+		c.server.stats.Count("control_dropped")
+	}
+}
+
+// run is the control goroutine.
+func (c *control) run(ctx context.Context) {
+	defer close(c.done)
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.events:
+			f(time.Now())
+		case now := <-ticker.C:
+			c.tick(now)
+		}
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.send(c.members.Tick(now))
+	c.act(c.detector.Tick(now, c.actions[:0]))
+	c.server.placementTick(now)
+	c.publish(now)
+	c.server.gate.tick()
+	c.setCapacities()
+}
+
+// send carries out the actions of the membership machine.
+func (c *control) send(actions []membership.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case membership.Send:
+			_ = c.server.peers.Send(a.To, a.Message) // a lost message is repeated by the protocol
+		case membership.Changed:
+			c.server.log.Log(event.MemberChanged).Str("member", string(a.Member.ID)).Bool("live", a.Live).Bool("leaving", a.Member.Leaving).Send()
+			c.dirty = true
+		}
+	}
+}
+
+// act carries out the actions of outlier detection.
+func (c *control) act(actions []outlier.Action) {
+	for _, a := range actions {
+		c.dirty = true
+		switch a.Kind {
+		case outlier.Probe:
+			c.probe(a.Upstream)
+		case outlier.Eject:
+			c.server.stats.Count("ejected", "reason", a.Reason.String())
+			c.server.log.Log(event.UpstreamEjected).Str("upstream", string(a.Upstream)).Str("reason", a.Reason.String()).Send()
+		case outlier.Return:
+			c.server.log.Log(event.UpstreamReturned).Str("upstream", string(a.Upstream)).Float64("weight", a.Weight).Send()
+		case outlier.Spared:
+			c.server.stats.Count("ejection_spared")
+		}
+	}
+	c.actions = actions[:0]
+}
+
+// probe asks the upstream for an answer over a new connection.
+func (c *control) probe(id fleet.UpstreamID) {
+	condition, ok := c.conditions[id]
+	if !ok {
+		return
+	}
+	timeout := condition.view.Upstreams.Silence
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		alive := c.server.probe(ctx, condition)
+		c.post(func(now time.Time) { c.act(c.detector.Probed(now, id, alive, c.actions[:0])) })
+	}()
+}
+
+// outcome books the result of a request on an upstream. latency is per token
+// for engines and per call for plain services.
+func (c *control) outcome(id fleet.UpstreamID, latency time.Duration, err error) {
+	c.post(func(now time.Time) {
+		out := c.actions[:0]
+		switch classify(err) {
+		case succeeded:
+			out = c.detector.Succeeded(now, id, latency, out)
+		case refused:
+			out = c.detector.Refused(now, id, out)
+		case silent:
+			out = c.detector.Silent(now, id, out)
+		case failed:
+			out = c.detector.Failed(now, id, out)
+		}
+		c.act(out)
+		if err != nil {
+			c.publish(now) // the next request must not meet the failed upstream
+		}
+	})
+}
+
+// reported books an engine's state, or the failure to get it.
+func (c *control) reported(id fleet.UpstreamID, asked time.Time, state upstream.EngineState, err error) {
+	c.post(func(now time.Time) {
+		condition, ok := c.conditions[id]
+		if !ok {
+			return
+		}
+		if err != nil {
+			c.outcome(id, 0, err)
+			return
+		}
+		condition.state, condition.reported = state, true
+		condition.load.Report(asked, state.Running+state.Waiting, c.otherVMs())
+		c.server.placementReported(now, state)
+		c.dirty = true
+	})
+}
+
+// listed books the platform's VM list.
+func (c *control) listed(entries []platform.VMEntry) {
+	c.post(func(time.Time) {
+		leaving := map[string]bool{}
+		for _, e := range entries {
+			leaving[e.Address] = e.Leaving
+		}
+		for _, condition := range c.conditions {
+			if state, ok := leaving[condition.address]; ok {
+				condition.listedLeaving = state
+			}
+		}
+		c.dirty = true
+	})
+}
+
+// otherVMs returns the number of other live entry VMs in the fleet.
+func (c *control) otherVMs() int {
+	view := c.members.View()
+	n := len(view.Members)
+	for _, dc := range view.DataCentres {
+		if dc.DataCentre != c.server.cfg.DataCentre {
+			n += int(dc.Live)
+		}
+	}
+	return n
+}
+
+// configure applies a new directory: upstreams that come and go, and limits.
+func (c *control) configure(d *directory) {
+	c.post(func(now time.Time) {
+		for id, condition := range c.conditions {
+			view, ok := d.upstreams[id]
+			if !ok || view.Upstream.Address != condition.address {
+				condition.stop()
+				delete(c.conditions, id)
+			}
+		}
+		for id, view := range d.upstreams {
+			if condition, ok := c.conditions[id]; ok {
+				condition.view = view
+				continue
+			}
+			c.conditions[id] = c.server.newCondition(id, view)
+		}
+		c.detector.SetConfig(outlierConfig(d.local))
+		c.dirty = true
+		c.publish(now)
+	})
+}
+
+// publish makes a new view when something changed.
+func (c *control) publish(time.Time) {
+	members := c.members.View()
+	old := c.view.Load()
+	if old != nil && !c.dirty {
+		next := *old
+		next.members = members
+		c.view.Store(&next)
+		return
+	}
+	c.dirty = false
+	c.detector.SetMembers(c.duties())
+	next := &fleetView{members: members, engines: map[fleet.UpstreamID]upstream.Engine{}, expected: map[fleet.UpstreamID]time.Duration{}}
+	in := route.Input{Self: c.server.cfg.DataCentre, Models: c.models(), Links: c.links()}
+	for id, condition := range c.conditions {
+		ejected, weight := c.detector.Ejected(id), c.detector.Weight(id)
+		next.upstreams = append(next.upstreams, c.status(condition, ejected, weight))
+		if condition.isEngine() {
+			in.Engines = append(in.Engines, condition.routeEngine(ejected, weight))
+			next.engines[id] = condition.engine
+			next.expected[id] = condition.stageTime()
+		}
+	}
+	in.Servers = c.servers()
+	sortEngines(in.Engines)
+	sortStatus(next.upstreams)
+	next.routes = route.Build(in)
+	c.view.Store(next)
+}
+
+// duties returns what each upstream serves, for the caps of outlier detection.
+func (c *control) duties() []outlier.Member {
+	d := c.server.directory()
+	var list []outlier.Member
+	for id, condition := range c.conditions {
+		if !condition.isEngine() {
+			continue
+		}
+		a := condition.state.Assignment
+		layers := 0
+		if view, ok := d.model(a.Model); ok {
+			layers = int(view.Model.Layers)
+		}
+		list = append(list, outlier.Member{ID: id, Model: a.Model, Layers: a.Layers, ModelLayers: layers})
+	}
+	for _, server := range c.servers() {
+		list = append(list, outlier.Member{ID: server.ID, Route: server.Route})
+	}
+	return list
+}
+
+func (c *control) models() []route.Model {
+	d := c.server.directory()
+	var list []route.Model
+	for _, id := range d.models {
+		view, _ := d.model(id)
+		list = append(list, route.Model{ID: id, Version: view.Model.Version, Layers: int(view.Model.Layers), Block: upstream.PrefixBlock})
+	}
+	return list
+}
+
+// links returns the links between data centres in both directions.
+func (c *control) links() []route.Link {
+	d := c.server.directory()
+	var list []route.Link
+	for dc, region := range d.tree.DataCentres() {
+		scope := d.scope
+		scope.Region, scope.DataCentre = region, dc
+		for to, link := range d.tree.Effective(scope).Links {
+			list = append(list, route.Link{From: dc, To: to, Time: link.Latency})
+		}
+	}
+	return list
+}
+
+// servers returns the servers of all routes.
+func (c *control) servers() []route.Server {
+	d := c.server.directory()
+	var list []route.Server
+	for _, id := range d.routes {
+		for _, name := range d.route("", fleet.Lookup, id).Route.Upstreams {
+			condition, ok := c.conditions[fleet.UpstreamID(name)]
+			if !ok {
+				continue
+			}
+			list = append(list, condition.routeServer(id, c.detector.Ejected(condition.id), c.detector.Weight(condition.id)))
+		}
+	}
+	return list
+}
+
+// setCapacities tells admission this VM's share of each model's slots: those of
+// the layer range with the fewest, shared evenly by the live VMs.
+func (c *control) setCapacities() {
+	vms := c.otherVMs() + 1
+	d := c.server.directory()
+	for _, id := range d.models {
+		view, _ := d.model(id)
+		share := (c.modelSlots(id, int(view.Model.Layers)) + vms - 1) / vms
+		c.server.gate.setCapacity(admission.Capacity{Model: id, Slots: share})
+	}
+}
+
+// modelSlots returns the batch slots of the layer that fewest usable engines hold.
+func (c *control) modelSlots(id fleet.ModelID, layers int) int {
+	perLayer := make([]int, layers)
+	for _, condition := range c.conditions {
+		a := condition.state.Assignment
+		if !condition.usable() || a.Model != id || a.Layers.End > layers || c.detector.Ejected(condition.id) {
+			continue
+		}
+		for l := a.Layers.First; l < a.Layers.End; l++ {
+			perLayer[l] += condition.slots()
+		}
+	}
+	if layers == 0 {
+		return 0
+	}
+	return slices.Min(perLayer)
+}
+
+func (c *control) status(u *condition, ejected bool, weight float64) upstreamStatus {
+	s := upstreamStatus{
+		Upstream: u.id, Kind: u.view.Upstream.Kind, Address: u.address, DC: fleet.DataCentreID(u.view.Upstream.DataCentre),
+		Ready: !u.isEngine() || u.reported && !u.state.Loading, Leaving: u.leaving(), Ejected: ejected, Weight: weight,
+		Own: u.load.Own(), Queue: u.load.Queue(), Epoch: u.state.Epoch, Model: u.state.Assignment.Model,
+	}
+	if u.isEngine() {
+		s.Layers = u.state.Assignment.Layers.String()
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/entry/directory.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/settings"
+)
+
+// directory is what request goroutines look up in the settings. It is immutable
+// and made anew when the settings tree changes.
+type directory struct {
+	tree       *settings.Tree
+	scope      settings.Scope
+	local      *settings.View
+	teamByKey  map[string]fleet.TeamID
+	operators  map[string]bool
+	teams      []fleet.TeamID
+	models     []fleet.ModelID
+	routes     []fleet.RouteID
+	upstreams  map[fleet.UpstreamID]*settings.View
+	engines    []fleet.UpstreamID
+	dataCentre fleet.DataCentreID
+}
+
+// newDirectory compiles the tree for a VM of the given region and data centre.
+func newDirectory(tree *settings.Tree, self fleet.VM) *directory {
+	d := &directory{
+		tree:       tree,
+		scope:      settings.Scope{Region: self.Region, DataCentre: self.DataCentre},
+		teamByKey:  map[string]fleet.TeamID{},
+		operators:  map[string]bool{},
+		upstreams:  map[fleet.UpstreamID]*settings.View{},
+		dataCentre: self.DataCentre,
+	}
+	d.local = tree.Effective(d.scope)
+	for _, hash := range d.local.Operators.KeyHashes {
+		d.operators[hash] = true
+	}
+	for _, saved := range tree.Save() {
+		if saved.Value != nil {
+			d.add(saved.Branch)
+		}
+	}
+	sort.Slice(d.engines, func(a, b int) bool { return d.engines[a] < d.engines[b] })
+	return d
+}
+
+// add enters a branch that names a team, model, route or upstream.
+func (d *directory) add(branch string) {
+	kind, name, ok := strings.Cut(branch, "/")
+	if !ok || strings.Contains(name, "/") {
+		return
+	}
+	switch kind {
+	case "team":
+		d.teams = append(d.teams, fleet.TeamID(name))
+		for _, hash := range d.team(fleet.TeamID(name)).Team.KeyHashes {
+			d.teamByKey[hash] = fleet.TeamID(name)
+		}
+	case "model":
+		d.models = append(d.models, fleet.ModelID(name))
+	case "route":
+		d.routes = append(d.routes, fleet.RouteID(name))
+	case "upstream":
+		d.addUpstream(fleet.UpstreamID(name))
+	}
+}
+
+func (d *directory) addUpstream(id fleet.UpstreamID) {
+	scope := d.scope
+	scope.Upstream = id
+	view := d.tree.Effective(scope)
+	d.upstreams[id] = view
+	if view.Upstream.Kind == settings.KindEngine {
+		d.engines = append(d.engines, id)
+	}
+}
+
+// team returns the values in force for a team.
+func (d *directory) team(id fleet.TeamID) *settings.View {
+	scope := d.scope
+	scope.Team = id
+	return d.tree.Effective(scope)
+}
+
+// request returns the values in force for a team's request.
+func (d *directory) request(team fleet.TeamID, rank fleet.Rank, model fleet.ModelID) *settings.View {
+	scope := d.scope
+	scope.Team, scope.Rank, scope.Model = team, rank.String(), model
+	return d.tree.Effective(scope)
+}
+
+// route returns the values in force for a team's call of a route.
+func (d *directory) route(team fleet.TeamID, rank fleet.Rank, route fleet.RouteID) *settings.View {
+	scope := d.scope
+	scope.Team, scope.Rank, scope.Route = team, rank.String(), route
+	return d.tree.Effective(scope)
+}
+
+// rank returns the values in force for a rank.
+func (d *directory) rank(r fleet.Rank) *settings.View {
+	scope := d.scope
+	scope.Rank = r.String()
+	return d.tree.Effective(scope)
+}
+
+// model returns the values in force for a model and whether it exists.
+func (d *directory) model(id fleet.ModelID) (*settings.View, bool) {
+	scope := d.scope
+	scope.Model = id
+	view := d.tree.Effective(scope)
+	return view, view.Model.Layers > 0
+}
+
+// defaultDeadline returns the deadline of a request that names none.
+func (d *directory) defaultDeadline(team fleet.TeamID, rank fleet.Rank, arrived time.Time) time.Time {
+	view := d.request(team, rank, "")
+	if rank != fleet.Overnight {
+		return arrived.Add(view.Rank.DefaultDeadline)
+	}
+	return nextDawn(view.Overnight, arrived)
+}
+
+// nextDawn returns the next time of day by which overnight work is due.
+func nextDawn(o settings.Overnight, now time.Time) time.Time {
+	clock, err := time.Parse("15:04", o.Dawn)
+	if err != nil {
+		return now.Add(12 * time.Hour) // the settings check admits only HH:MM
+	}
+	local := now.UTC().Add(o.UTCOffset)
+	dawn := time.Date(local.Year(), local.Month(), local.Day(), clock.Hour(), clock.Minute(), 0, 0, time.UTC)
+	if !dawn.After(local) {
+		dawn = dawn.Add(24 * time.Hour)
+	}
+	return dawn.Add(-o.UTCOffset)
+}
--- /dev/null
+++ b/pkg/entry/operator.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/record"
+	"github.com/cornelline/cornelline/pkg/rehearsal"
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/settings"
+)
+
+// maxSettingsBody is the largest settings change in bytes. A branch with the key
+// hashes of an operator team stays far below it, and the log keeps it whole.
+const maxSettingsBody = 256 << 10
+
+// proposeTimeout bounds the wait for a settings change to be read back. Changes
+// are in force everywhere within seconds; after 10 s the operator is told that
+// the outcome is unknown.
+const proposeTimeout = 10 * time.Second
+
+// branchBody is one branch as operators see it.
+type branchBody struct {
+	Branch  string          `json:"branch"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// operator wraps a handler that only operators may call.
+func (s *Server) operator(handle khttp.HandlerFunc) khttp.HandlerFunc {
+	return func(ctx khttp.Context) error {
+		if s.isOperator(ctx.Request()) {
+			return handle(ctx)
+		}
+		if _, err := s.authenticate(ctx.Request()); err == nil {
+			return result.New(result.Forbidden, result.NotRun, "an operator key is needed")
+		}
+		return result.New(result.Unauthenticated, result.NotRun, "no valid operator key in the Authorization header")
+	}
+}
+
+// listSettings answers GET /v1/settings.
+func (s *Server) listSettings(ctx khttp.Context) error {
+	all := []branchBody{}
+	for _, b := range s.directory().tree.Save() {
+		if b.Value != nil {
+			all = append(all, branchBody{Branch: b.Branch, Version: b.Version, Value: b.Value})
+		}
+	}
+	return ctx.JSON(http.StatusOK, all)
+}
+
+// getSettings answers GET /v1/settings/{branch}.
+func (s *Server) getSettings(ctx khttp.Context) error {
+	branch := ctx.Vars().Get("branch")
+	value, version, err := s.directory().tree.Branch(branch)
+	if err != nil {
+		return result.New(result.UnknownBranch, result.NotRun, "%v", err)
+	}
+	if value == nil {
+		return result.New(result.UnknownBranch, result.NotRun, "no branch %s (a change that makes it builds on version %d)", branch, version)
+	}
+	return ctx.JSON(http.StatusOK, branchBody{Branch: branch, Version: version, Value: value})
+}
+
+// putSettings answers PUT /v1/settings/{branch}.
+func (s *Server) putSettings(ctx khttp.Context) error {
+	body, err := readBody(ctx.Response(), ctx.Request(), maxSettingsBody)
+	if err != nil {
+		return err
+	}
+	if len(strings.TrimSpace(string(body))) == 0 {
+		return result.New(result.MalformedBody, result.NotRun, "the body is empty; DELETE removes a branch")
+	}
+	return s.propose(ctx, body)
+}
+
+// deleteSettings answers DELETE /v1/settings/{branch}.
+func (s *Server) deleteSettings(ctx khttp.Context) error { return s.propose(ctx, nil) }
+
+// propose makes a change and answers once it is in force here.
+func (s *Server) propose(ctx khttp.Context, value []byte) error {
+	r := ctx.Request()
+	base, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		return result.New(result.InvalidHeader, result.NotRun, "If-Match: want the version of the branch that the change builds on, 0 for a new one")
+	}
+	change := record.Settings{Branch: ctx.Vars().Get("branch"), Base: base, Value: value, Author: s.authorOf(r)}
+	waiting, cancel := contextWithTimeout(r, proposeTimeout)
+	defer cancel()
+	version, err := s.settings.ProposeSettings(waiting, change)
+	if err != nil {
+		return err
+	}
+	return ctx.JSON(http.StatusOK, branchBody{Branch: change.Branch, Version: version, Value: value})
+}
+
+// authorOf names an operator by the head of the key's hash, which does not reveal the key.
+func (s *Server) authorOf(r *http.Request) string { return "key-" + bearerHash(r)[:8] }
+
+// effectiveSettings answers GET /v1/settings-effective.
+func (s *Server) effectiveSettings(ctx khttp.Context) error {
+	q := ctx.Query()
+	scope := settings.Scope{
+		Region: fleet.RegionID(q.Get("region")), DataCentre: fleet.DataCentreID(q.Get("data_centre")),
+		Team: fleet.TeamID(q.Get("team")), Model: fleet.ModelID(q.Get("model")), Rank: q.Get("rank"),
+		Route: fleet.RouteID(q.Get("route")), Upstream: fleet.UpstreamID(q.Get("upstream")),
+	}
+	tree := s.directory().tree
+	if q.Get("name") == "" {
+		return ctx.JSON(http.StatusOK, tree.ExplainAll(scope))
+	}
+	value, err := tree.Explain(scope, q.Get("name"))
+	if err != nil {
+		return result.New(result.SettingsInvalid, result.NotRun, "%v", err)
+	}
+	return ctx.JSON(http.StatusOK, value)
+}
+
+// rehearsalBody is the body that starts a rehearsal.
+type rehearsalBody struct {
+	Fault   rehearsal.Fault    `json:"fault"`
+	Targets []rehearsal.Target `json:"targets"`
+	For     string             `json:"for"`
+}
+
+// listRehearsals answers GET /v1/rehearsals.
+func (s *Server) listRehearsals(ctx khttp.Context) error {
+	return ctx.JSON(http.StatusOK, s.injector.Active())
+}
+
+// startRehearsal answers POST /v1/rehearsals.
+func (s *Server) startRehearsal(ctx khttp.Context) error {
+	body, err := readBody(ctx.Response(), ctx.Request(), maxSettingsBody)
+	if err != nil {
+		return err
+	}
+	var want rehearsalBody
+	if err := json.Unmarshal(body, &want); err != nil {
+		return result.New(result.MalformedBody, result.NotRun, "body: %v", err)
+	}
+	length, err := time.ParseDuration(want.For)
+	if err != nil {
+		return result.New(result.MalformedBody, result.NotRun, "for: want a duration, got %q", want.For)
+	}
+	bounds, err := s.rehearsalBounds(want.Targets)
+	if err != nil {
+		return err
+	}
+	started, err := s.injector.Start(rehearsal.Rehearsal{
+		ID: string(newRequestID()), Fault: want.Fault, Targets: want.Targets, For: length, Author: s.authorOf(ctx.Request()),
+	}, bounds)
+	if err != nil {
+		return err
+	}
+	s.logRehearsal(started)
+	return ctx.JSON(http.StatusOK, started)
+}
+
+// rehearsalBounds returns the bounds in force, and an error for unknown targets.
+func (s *Server) rehearsalBounds(targets []rehearsal.Target) (rehearsal.Bounds, error) {
+	d := s.directory()
+	if !d.local.Rehearsal.Allowed {
+		return rehearsal.Bounds{}, result.New(result.RehearsalBound, result.NotRun, "rehearsal.allowed is false here")
+	}
+	for _, t := range targets {
+		if _, known := d.upstreams[fleet.UpstreamID(t)]; !known && t != rehearsal.LogTarget {
+			return rehearsal.Bounds{}, result.New(result.RehearsalBound, result.NotRun, "targets: %q is neither an upstream nor %q", t, rehearsal.LogTarget)
+		}
+	}
+	most := int(d.local.Rehearsal.MaxUpstreams * float64(len(d.upstreams)))
+	return rehearsal.Bounds{MaxDuration: d.local.Rehearsal.MaxDuration, MaxTargets: max(most, 1)}, nil
+}
+
+// stopRehearsal answers DELETE /v1/rehearsals/{id}.
+func (s *Server) stopRehearsal(ctx khttp.Context) error {
+	if !s.injector.Stop(ctx.Vars().Get("id")) {
+		return result.New(result.RehearsalBound, result.NotRun, "no such rehearsal is active")
+	}
+	return ctx.JSON(http.StatusOK, s.injector.Active())
+}
+
+// encodeError writes the error of a handler.
+func (s *Server) encodeError(w http.ResponseWriter, _ *http.Request, err error) {
+	var e *result.Error
+	if !errors.As(err, &e) {
+		e = result.From(err)
+	}
+	writeError(w, e, fleet.RequestID(w.Header().Get(headerRequestID)))
+}
--- /dev/null
+++ b/pkg/entry/routes.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"net/url"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/result"
+)
+
+// newHTTP returns the HTTP server of callers and operators.
+func (s *Server) newHTTP(l net.Listener) *khttp.Server {
+	srv := khttp.NewServer(
+		khttp.Listener(l),
+		khttp.Timeout(0), // streams last longer than any fixed timeout; deadlines bound requests
+		khttp.ErrorEncoder(s.encodeError),
+		khttp.NotFoundHandler(http.HandlerFunc(notFound)),
+		khttp.MethodNotAllowedHandler(http.HandlerFunc(notFound)),
+	)
+	s.callerRoutes(srv.Route("/"))
+	s.operatorRoutes(srv.Route("/"))
+	return srv
+}
+
+func (s *Server) callerRoutes(r *khttp.Router) {
+	r.POST("/v1/chat/completions", s.inFlight(s.chatCompletions))
+	r.GET("/v1/models", s.listModels)
+	r.GET("/v1/address", s.getAddress)
+	r.POST("/v1/services/{route}", s.inFlight(s.callService))
+	r.POST("/v1/idempotency-keys", s.newIdempotencyKey)
+	r.GET("/v1/requests/{id}", s.explainRequest)
+	r.GET("/healthz", s.healthz)
+	r.GET("/readyz", s.readyz)
+	r.GET("/metrics", s.metrics)
+}
+
+func (s *Server) operatorRoutes(r *khttp.Router) {
+	r.GET("/v1/settings", s.operator(s.listSettings))
+	r.GET("/v1/settings/{branch:.+}", s.operator(s.getSettings))
+	r.PUT("/v1/settings/{branch:.+}", s.operator(s.putSettings))
+	r.DELETE("/v1/settings/{branch:.+}", s.operator(s.deleteSettings))
+	r.GET("/v1/settings-effective", s.operator(s.effectiveSettings))
+	r.GET("/v1/settings-history", s.operator(s.settingsHistory))
+	r.GET("/v1/status", s.operator(s.getStatus))
+	r.POST("/v1/drain", s.operator(s.startDrain))
+	r.GET("/v1/rehearsals", s.operator(s.listRehearsals))
+	r.POST("/v1/rehearsals", s.operator(s.startRehearsal))
+	r.DELETE("/v1/rehearsals/{id}", s.operator(s.stopRehearsal))
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, result.New(result.UnknownRoute, result.NotRun, "no such resource: %s %s", r.Method, r.URL.Path), fleet.RequestID(""))
+}
+
+// hostOf returns the host of a checked URL.
+func hostOf(text string) string {
+	u, err := url.Parse(text)
+	if err != nil {
+		return ""
+	}
+	return u.Host
+}
--- /dev/null
+++ b/pkg/entry/server.go
@@ -0,0 +1,248 @@
+// Package entry is the entry daemon: it serves callers and operators over HTTP,
+// runs the control goroutine, and wires the decision packages to the platform,
+// the upstreams and the other entry VMs.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/cornelline/cornelline/pkg/admission"
+	"github.com/cornelline/cornelline/pkg/config"
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/explain"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/rehearsal"
+	"github.com/cornelline/cornelline/pkg/replica"
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/retry"
+	"github.com/cornelline/cornelline/pkg/settings"
+	"github.com/cornelline/cornelline/pkg/stats"
+	"github.com/cornelline/cornelline/pkg/tokens"
+	"github.com/cornelline/cornelline/pkg/wire"
+)
+
+// Version is the version of the daemon.
+const Version = "0.1.0"
+
+// Server is one entry VM.
+type Server struct {
+	cfg      config.Config
+	self     fleet.VM
+	log      *event.Logger
+	stats    *stats.Stats
+	traces   *explain.Store
+	injector *rehearsal.Injector
+	client   *http.Client
+	weights  platform.WeightStore
+	vmList   platform.VMList
+	tokens   tokens.Tokenizer
+
+	settings *replica.Runner
+	claims   *replica.Runner
+	peers    *wire.Transport
+	control  *control
+	gate     *gate
+	drain    *drainer
+	current  atomic.Pointer[directory]
+
+	retryMu sync.Mutex
+	retries *retry.Budget
+
+	http     *khttp.Server
+	app      *kratos.App
+	cancel   context.CancelFunc
+	watchers sync.WaitGroup
+}
+
+// New returns a server that listens on its addresses but does not serve yet.
+// The error is a *result.Error.
+func New(cfg config.Config, log *event.Logger) (*Server, error) {
+	callers, err := listen(cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := listen(cfg.PeerAddress)
+	if err != nil {
+		_ = callers.Close()
+		return nil, err
+	}
+	s := &Server{
+		cfg: cfg, self: cfg.Self(), log: log,
+		stats:    stats.New(),
+		traces:   explain.NewStore(explain.DefaultCapacity),
+		injector: rehearsal.NewInjector(time.Now),
+		tokens:   tokens.ByteLevel{},
+		gate:     newGate(admission.DefaultConfig()),
+		retries:  retry.New(retry.DefaultConfig()),
+		drain:    newDrainer(),
+	}
+	s.client = &http.Client{Transport: &rehearsal.Transport{Base: newTransport(), Injector: s.injector}}
+	s.connectPlatform()
+	s.current.Store(newDirectory(settings.Empty(), s.self))
+	s.control = newControl(s, time.Now())
+	s.peers = wire.New(peers, wire.Config{
+		VM: cfg.VM, Address: cfg.PeerAddress, Secret: []byte(cfg.FleetSecret), Receive: s.receive, Respond: s.respond,
+	})
+	s.http = s.newHTTP(callers)
+	return s, nil
+}
+
+// Run serves until ctx ends or a stop is asked for, then drains and stops.
+func (s *Server) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s.cancel = cancel
+	defer cancel()
+	s.start(running)
+	s.app = kratos.New(
+		kratos.ID(string(s.cfg.VM)), kratos.Name("cornelline"), kratos.Version(Version),
+		kratos.Context(ctx), kratos.Server(s.http), kratos.Logger(kratosLogger{s.log}),
+		kratos.BeforeStop(func(context.Context) error { s.drainAll(); return nil }),
+		kratos.StopTimeout(s.directory().local.Drain.Max),
+	)
+	s.log.Log(event.Started).Str("address", s.cfg.Address).Str("version", Version).Send()
+	err := s.app.Run()
+	s.leave()
+	cancel()
+	s.watchers.Wait()
+	s.log.Log(event.Stopped).AnErr("reason", err).Send()
+	return err
+}
+
+// start begins the control goroutine and the goroutines that feed it.
+func (s *Server) start(ctx context.Context) {
+	changed := make(chan struct{}, 1)
+	s.settings.OnChange(func(*replica.View) {
+		select {
+		case changed <- struct{}{}:
+		default: // a signal is pending; the watcher reads the latest view
+		}
+	})
+	s.watchers.Go(func() { s.watchSettings(ctx, changed) })
+	s.watchers.Go(func() { s.control.run(ctx) })
+	s.watchers.Go(func() { s.settings.Run(ctx) })
+	s.watchers.Go(func() { s.claims.Run(ctx) })
+	s.watchers.Go(func() { s.pollVMList(ctx) })
+}
+
+// watchSettings puts each new tree in force. Trees that follow each other faster
+// than they are compiled are skipped, so a burst of changes costs little.
+func (s *Server) watchSettings(ctx context.Context, changed <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		tree := s.settings.View().Tree
+		if tree == s.directory().tree {
+			continue
+		}
+		s.putInForce(ctx, tree)
+	}
+}
+
+func (s *Server) putInForce(ctx context.Context, tree *settings.Tree) {
+	d := newDirectory(tree, s.self)
+	s.current.Store(d)
+	s.gate.setConfig(admissionConfig(d))
+	s.setRetryConfig(d)
+	s.settings.Reconfigure(ctx, replica.ParametersOf(d.local))
+	s.claims.Reconfigure(ctx, replica.ParametersOf(d.local))
+	for id, view := range d.upstreams {
+		s.injector.Bind(view.Upstream.Address, rehearsal.Target(id))
+	}
+	s.control.configure(d)
+}
+
+// directory returns the settings in force.
+func (s *Server) directory() *directory { return s.current.Load() }
+
+// fleetView returns the control goroutine's current view.
+func (s *Server) fleetView() *fleetView { return s.control.view.Load() }
+
+// connectPlatform makes the clients of the platform's services.
+func (s *Server) connectPlatform() {
+	s.injector.Bind(hostOf(s.cfg.LogURL), rehearsal.LogTarget)
+	log := platform.NewHTTPLog(s.cfg.LogURL, s.client)
+	s.weights = platform.NewHTTPWeightStore(s.cfg.WeightStoreURL, s.client)
+	s.vmList = platform.NewHTTPVMList(s.cfg.VMListURL, s.client)
+	s.settings = s.newRunner(log, platform.SettingsStream)
+	s.claims = s.newRunner(log, platform.ClaimsStream)
+}
+
+// pollVMList reads the platform's VM list until ctx ends.
+func (s *Server) pollVMList(ctx context.Context) {
+	ticker := time.NewTicker(vmListPoll)
+	defer ticker.Stop()
+	for {
+		entries, err := s.vmList.List(ctx)
+		if err == nil {
+			s.control.listed(entries)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// listen opens a TCP listener; an address in use has its own code.
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, result.New(result.AddressInUse, result.NotRun, "cannot listen on %s", address).WithCause(err)
+	}
+	return l, nil
+}
+
+// newTransport returns the transport for upstreams and platform. Compression is
+// off because token streams must not be buffered.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleConnectionTime,
+		DisableCompression:  true,
+	}
+}
+
+const (
+	// connectTimeout is a thousand times today's round trip between data centres.
+	connectTimeout     = time.Second
+	idleConnections    = 64
+	idleConnectionTime = 30 * time.Second
+)
+
+func hashOf(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// newRandom returns a random source for one request's decisions.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// kratosLogger writes the messages of kratos as daemon events.
+type kratosLogger struct{ log *event.Logger }
+
+// Log implements the logger of kratos.
+func (l kratosLogger) Log(level klog.Level, pairs ...any) error {
+	if level >= klog.LevelWarn {
+		l.log.Log(event.TransportWarning).Str("message", fmt.Sprint(pairs...)).Send()
+	}
+	return nil
+}
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -58,4 +58,12 @@
 	SnapshotWritten:  {"snapshot_written", zerolog.InfoLevel},
 	SnapshotMismatch: {"snapshot_mismatch", zerolog.ErrorLevel},
 	ClaimUnknown:     {"claim_outcome_unknown", zerolog.WarnLevel},
+
+	MemberChanged: {"member_changed", zerolog.InfoLevel},
+
+	UpstreamEjected:  {"upstream_ejected", zerolog.WarnLevel},
+	UpstreamReturned: {"upstream_returned", zerolog.InfoLevel},
+
+	RehearsalStarted: {"rehearsal_started", zerolog.WarnLevel},
+	RehearsalEnded:   {"rehearsal_ended", zerolog.InfoLevel},
 }
