--- /dev/null
+++ b/pkg/standin/log.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cornelline/cornelline/pkg/platform"
+)
+
+// maxRead is the most records that one read returns.
+const maxRead = 1000
+
+// LogConfig describes the stand-in of the log service.
+type LogConfig struct {
+	ID     string `json:"id"`
+	Listen string `json:"listen"`
+	// AppendsPerSecond limits the append calls; more get status 429. Default 300.
+	AppendsPerSecond float64 `json:"appends_per_second"`
+	// KeepRecords and KeepFor limit what each stream keeps; 0 means no limit.
+	KeepRecords int      `json:"keep_records"`
+	KeepFor     Duration `json:"keep_for"`
+	// Delay is the time that a call takes; Faults.Slow multiplies it. Default 1ms.
+	Delay Duration `json:"delay"`
+}
+
+// Log is the stand-in of the log service. Its records survive crashes.
+type Log struct {
+	*part
+	config LogConfig
+	limit  *rate.Limiter
+	routes *http.ServeMux
+
+	streamsMu sync.Mutex
+	streams   map[string]*stream
+}
+
+// stream holds the kept records; first is the offset of the oldest one.
+type stream struct {
+	first   uint64
+	records []platform.Record
+}
+
+// NewLog returns a log stand-in.
+func NewLog(config LogConfig) *Log {
+	setDefault(&config.ID, "log")
+	setDefault(&config.AppendsPerSecond, 300)
+	setDefault(&config.Delay, Duration(time.Millisecond))
+	l := &Log{
+		part:    newPart(config.ID),
+		config:  config,
+		limit:   rate.NewLimiter(rate.Limit(config.AppendsPerSecond), max(1, int(config.AppendsPerSecond/10))),
+		routes:  http.NewServeMux(),
+		streams: map[string]*stream{},
+	}
+	l.routes.HandleFunc("POST "+platform.PathStreams+"{stream}/records", l.serveAppend)
+	l.routes.HandleFunc("GET "+platform.PathStreams+"{stream}/records", l.serveRead)
+	return l
+}
+
+// ServeHTTP serves appends, reads and the fault calls.
+func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.serve(w, r, l.routes) }
+
+// begin applies outage, stall and delay, and reports whether the call may go on.
+func (l *Log) begin(w http.ResponseWriter, r *http.Request) bool {
+	if l.Faults().Outage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return false
+	}
+	delay := time.Duration(float64(l.config.Delay) * l.slow())
+	return sleep(r.Context(), delay) == nil && l.awaitRunning(r.Context(), StallCompute) == nil
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	var req platform.AppendRequest
+	if !readJSON(w, r, &req) || !l.begin(w, r) {
+		return
+	}
+	if !l.limit.Allow() {
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+		return
+	}
+	first := l.add(r.PathValue("stream"), req.Records)
+	f := l.Faults()
+	if f.LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	if sleep(r.Context(), time.Duration(f.Late)) == nil {
+		writeJSON(w, http.StatusOK, platform.AppendResponse{First: first})
+	}
+}
+
+// add appends the records and returns the offset of the first.
+func (l *Log) add(name string, records [][]byte) uint64 {
+	l.streamsMu.Lock()
+	defer l.streamsMu.Unlock()
+	s := l.stream(name)
+	next := s.first + uint64(len(s.records))
+	now := time.Now()
+	for i, data := range records {
+		s.records = append(s.records, platform.Record{Offset: next + uint64(i), AppendedAt: now, Data: data})
+	}
+	l.expire(s, now)
+	return next
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{first: 1}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// expire drops the records that are too many or too old.
+func (l *Log) expire(s *stream, now time.Time) {
+	drop := 0
+	if l.config.KeepRecords > 0 {
+		drop = max(0, len(s.records)-l.config.KeepRecords)
+	}
+	for l.config.KeepFor > 0 && drop < len(s.records) && now.Sub(s.records[drop].AppendedAt) > time.Duration(l.config.KeepFor) {
+		drop++
+	}
+	s.first += uint64(drop)
+	s.records = s.records[drop:]
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	if !l.begin(w, r) {
+		return
+	}
+	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	limit, _ := strconv.Atoi(r.URL.Query().Get("max"))
+	if limit <= 0 || limit > maxRead {
+		limit = maxRead
+	}
+	batch, kept := l.read(r.PathValue("stream"), from, limit)
+	if l.Faults().LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	if !kept {
+		status = http.StatusGone
+	}
+	writeJSON(w, status, batch)
+}
+
+// read returns the records from an offset on, and whether that offset is still kept.
+func (l *Log) read(name string, from uint64, limit int) (platform.Batch, bool) {
+	l.streamsMu.Lock()
+	defer l.streamsMu.Unlock()
+	s := l.stream(name)
+	l.expire(s, time.Now())
+	batch := platform.Batch{First: s.first, Next: s.first + uint64(len(s.records))}
+	if from < s.first {
+		return batch, false
+	}
+	if from < batch.Next {
+		records := s.records[from-s.first:]
+		batch.Records = records[:min(limit, len(records))]
+	}
+	return batch, true
+}
--- /dev/null
+++ b/pkg/standin/platform.go
@@ -0,0 +1,163 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/platform"
+)
+
+// PathWeights is where engines take weights; the answer comes when the rate allows.
+const PathWeights = "/v1/weights"
+
+// WeightStoreConfig describes the stand-in of the weight store.
+type WeightStoreConfig struct {
+	ID     string `json:"id"`
+	Listen string `json:"listen"`
+	// BytesPerSecond is the rate that all loads share. Default 1 GB/s.
+	BytesPerSecond float64 `json:"bytes_per_second"`
+}
+
+// WeightStore is the stand-in of the weight store. It serves loads one after another.
+type WeightStore struct {
+	*part
+	config WeightStoreConfig
+	routes *http.ServeMux
+
+	loadMu sync.Mutex
+	free   time.Time
+	served int64
+}
+
+// NewWeightStore returns a weight store stand-in.
+func NewWeightStore(config WeightStoreConfig) *WeightStore {
+	setDefault(&config.ID, "weight-store")
+	setDefault(&config.BytesPerSecond, 1e9)
+	s := &WeightStore{part: newPart(config.ID), config: config, routes: http.NewServeMux()}
+	s.routes.HandleFunc("GET "+platform.PathWeightRate, func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, platform.RateResponse{BytesPerSecond: config.BytesPerSecond / s.slow()})
+	})
+	s.routes.HandleFunc("GET "+PathWeights, s.serveWeights)
+	return s
+}
+
+// ServeHTTP serves the rate, loads and the fault calls.
+func (s *WeightStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, http.HandlerFunc(s.call))
+}
+
+func (s *WeightStore) call(w http.ResponseWriter, r *http.Request) {
+	if s.Faults().Outage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
+	s.routes.ServeHTTP(w, r)
+}
+
+// Served returns the bytes of all loads so far.
+func (s *WeightStore) Served() int64 {
+	s.loadMu.Lock()
+	defer s.loadMu.Unlock()
+	return s.served
+}
+
+func (s *WeightStore) serveWeights(w http.ResponseWriter, r *http.Request) {
+	bytes, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64)
+	if err != nil || bytes < 0 {
+		http.Error(w, "bytes must be a number", http.StatusBadRequest)
+		return
+	}
+	if s.take(r.Context(), bytes) == nil {
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// take waits until the bytes were served at the store's rate.
+func (s *WeightStore) take(ctx context.Context, bytes int64) error {
+	seconds := float64(bytes) / s.config.BytesPerSecond * s.slow()
+	s.loadMu.Lock()
+	now := time.Now()
+	if s.free.Before(now) {
+		s.free = now
+	}
+	s.free = s.free.Add(time.Duration(seconds * float64(time.Second)))
+	s.served += bytes
+	wait := s.free.Sub(now)
+	s.loadMu.Unlock()
+	return sleep(ctx, wait)
+}
+
+// VMListConfig describes the stand-in of the VM list.
+type VMListConfig struct {
+	ID     string `json:"id"`
+	Listen string `json:"listen"`
+	// Lag is the time until a change shows.
+	Lag Duration           `json:"lag"`
+	VMs []platform.VMEntry `json:"vms"`
+}
+
+// VMList is the stand-in of the VM list. A PUT to its path replaces the list.
+type VMList struct {
+	*part
+	config VMListConfig
+	routes *http.ServeMux
+
+	listMu  sync.Mutex
+	visible []platform.VMEntry
+	pending []listChange
+}
+
+type listChange struct {
+	at  time.Time
+	vms []platform.VMEntry
+}
+
+// NewVMList returns a VM list stand-in.
+func NewVMList(config VMListConfig) *VMList {
+	setDefault(&config.ID, "vm-list")
+	v := &VMList{part: newPart(config.ID), config: config, routes: http.NewServeMux(), visible: config.VMs}
+	v.routes.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, platform.VMListResponse{VMs: v.list()})
+	})
+	v.routes.HandleFunc("PUT "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		var body platform.VMListResponse
+		if readJSON(w, r, &body) {
+			v.Set(body.VMs)
+			writeJSON(w, http.StatusOK, body)
+		}
+	})
+	return v
+}
+
+// ServeHTTP serves the list and the fault calls.
+func (v *VMList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	v.serve(w, r, http.HandlerFunc(v.call))
+}
+
+func (v *VMList) call(w http.ResponseWriter, r *http.Request) {
+	if v.Faults().Outage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
+	v.routes.ServeHTTP(w, r)
+}
+
+// Set replaces the list; the change shows after the lag.
+func (v *VMList) Set(vms []platform.VMEntry) {
+	v.listMu.Lock()
+	defer v.listMu.Unlock()
+	v.pending = append(v.pending, listChange{at: time.Now(), vms: vms})
+}
+
+func (v *VMList) list() []platform.VMEntry {
+	v.listMu.Lock()
+	defer v.listMu.Unlock()
+	for len(v.pending) > 0 && time.Since(v.pending[0].at) >= time.Duration(v.config.Lag) {
+		v.visible = v.pending[0].vms
+		v.pending = v.pending[1:]
+	}
+	return v.visible
+}
--- a/pkg/upstream/http_engine.go
+++ b/pkg/upstream/http_engine.go
@@ -203,15 +203,20 @@
 		body.Message = http.StatusText(resp.StatusCode)
 	}
 	refused := resp.StatusCode >= 400 && resp.StatusCode < 500
-	err := errors.New(body.Message)
-	if refused {
-		err = fmt.Errorf("%w: %s", ErrRefused, body.Message)
-	}
-	failure := e.fail(!refused, resp.StatusCode, err)
+	body.Refused = refused
+	failure := e.fail(!refused, resp.StatusCode, body.cause())
 	failure.FailedStage = body.FailedStage
 	return failure
 }
 
+// cause returns the message as an error, which wraps ErrRefused for a refusal.
+func (b *ErrorBody) cause() error {
+	if b.Refused {
+		return fmt.Errorf("%w: %s", ErrRefused, b.Message)
+	}
+	return errors.New(b.Message)
+}
+
 // silent replaces the cause of err when the watchdog cancelled the call.
 func (e *HTTPEngine) silent(dog *httpcall.Watchdog, err error) error {
 	var failure *Error
@@ -254,7 +259,7 @@
 		}
 		switch {
 		case line.Error != nil:
-			failure := s.engine.fail(true, 0, errors.New(line.Error.Message))
+			failure := s.engine.fail(true, 0, line.Error.cause())
 			failure.FailedStage = line.Error.FailedStage
 			s.Close()
 			return TokenEvent{}, failure
--- a/pkg/upstream/protocol.go
+++ b/pkg/upstream/protocol.go
@@ -44,6 +44,9 @@
 	Message string `json:"message"`
 	// FailedStage names the stage that failed, where that is known.
 	FailedStage fleet.UpstreamID `json:"failed_stage,omitempty"`
+	// Refused states that the stage refused the call, for its attempt, position or
+	// assignment, and is otherwise well.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // CancelRequest is the body of a cancel call.
