--- /dev/null
+++ b/pkg/cli/check.go
@@ -0,0 +1,80 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/cornelline/cornelline/pkg/record"
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/settings"
+)
+
+type settingsCheckCommand struct {
+	command
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"JSON object of branch paths and their overrides; - for standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute checks a file of branches against an empty tree.
+func (c *settingsCheckCommand) Execute([]string) error {
+	data, err := readInput(c.Args.File)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	branches, err := DecodeBranches(data)
+	if err != nil {
+		return result.New(result.SettingsInvalid, result.NotRun, "%s: %v", c.Args.File, err)
+	}
+	tree := settings.Empty()
+	for i, b := range branches {
+		if tree, err = tree.Apply(record.Settings{Branch: b.Path, Value: b.Value}, uint64(i+1)); err != nil {
+			return result.New(result.SettingsInvalid, result.NotRun, "%s: %v", c.Args.File, err)
+		}
+	}
+	_, err = fmt.Fprintf(c.out, "%d branches are valid\n", len(branches))
+	return err
+}
+
+// Branch is one branch of a settings file.
+type Branch struct {
+	Path  string
+	Value json.RawMessage
+}
+
+// branchOrder is the order in which branches are applied, so that a branch
+// follows those that it refers to.
+var branchOrder = []string{"fleet", "rank", "model", "upstream", "route", "team"}
+
+// DecodeBranches parses a settings file and returns its branches in the order
+// in which they can be applied.
+func DecodeBranches(data []byte) ([]Branch, error) {
+	var file map[string]json.RawMessage
+	if err := json.Unmarshal(data, &file); err != nil {
+		return nil, err
+	}
+	branches := make([]Branch, 0, len(file))
+	for path, value := range file {
+		branches = append(branches, Branch{Path: path, Value: value})
+	}
+	sort.Slice(branches, func(a, b int) bool {
+		oa, ob := orderOf(branches[a].Path), orderOf(branches[b].Path)
+		if oa != ob {
+			return oa < ob
+		}
+		return branches[a].Path < branches[b].Path
+	})
+	return branches, nil
+}
+
+func orderOf(path string) int {
+	kind, _, _ := strings.Cut(path, "/")
+	for i, k := range branchOrder {
+		if k == kind {
+			return i
+		}
+	}
+	return len(branchOrder)
+}
--- /dev/null
+++ b/pkg/entry/peers.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/wire"
+)
+
+// explainTimeout bounds the look-up of an explanation at all other VMs.
+const explainTimeout = time.Second
+
+// errUnknownMessage is returned to a peer for a request that this VM does not know.
+var errUnknownMessage = errors.New("unknown message")
+
+// receive hands a peer's message to the control goroutine.
+func (s *Server) receive(_ wire.Peer, m wire.Message) {
+	s.control.post(func(now time.Time) { s.control.send(s.control.members.Receive(now, m)) })
+}
+
+// respond answers a peer's request.
+func (s *Server) respond(_ context.Context, _ wire.Peer, m wire.Message) (wire.Message, error) {
+	request, ok := m.(*wire.Explain)
+	if !ok {
+		return nil, errUnknownMessage
+	}
+	data, found := s.ownExplanation(request.Request, request.Team)
+	return &wire.Explanation{Found: found, JSON: data}, nil
+}
+
+// ownExplanation returns the explanation of a request that this VM took. A
+// non-empty team limits it to the team's own requests.
+func (s *Server) ownExplanation(id fleet.RequestID, team fleet.TeamID) ([]byte, bool) {
+	trace, ok := s.traces.Get(id)
+	if !ok || team != "" && trace.Team != team {
+		return nil, false
+	}
+	data, err := json.Marshal(trace)
+	return data, err == nil
+}
+
+// findExplanation looks here first, then at the members of this data centre.
+func (s *Server) findExplanation(ctx context.Context, id fleet.RequestID, team fleet.TeamID) ([]byte, bool) {
+	if data, ok := s.ownExplanation(id, team); ok {
+		return data, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	peers := s.peerAddresses()
+	answers := make(chan []byte, len(peers))
+	for _, peer := range peers {
+		go func() { answers <- s.askExplanation(ctx, peer, id, team) }()
+	}
+	for range peers {
+		if data := <-answers; data != nil {
+			return data, true
+		}
+	}
+	return nil, false
+}
+
+func (s *Server) askExplanation(ctx context.Context, peer string, id fleet.RequestID, team fleet.TeamID) []byte {
+	answer, err := s.peers.Call(ctx, peer, &wire.Explain{Request: id, Team: team})
+	if err != nil {
+		return nil
+	}
+	if explanation, ok := answer.(*wire.Explanation); ok && explanation.Found {
+		return explanation.JSON
+	}
+	return nil
+}
+
+// peerAddresses returns the inner addresses of the members known here.
+func (s *Server) peerAddresses() []string {
+	view := s.fleetView().members
+	var list []string
+	for _, m := range view.Members {
+		list = append(list, m.PeerAddress)
+	}
+	for _, dc := range view.DataCentres {
+		if dc.DataCentre == s.cfg.DataCentre {
+			continue
+		}
+		for _, c := range append(dc.Relays, dc.Sample...) {
+			list = append(list, c.PeerAddress)
+		}
+	}
+	return list
+}
+
+// settingsHistory answers GET /v1/settings-history.
+func (s *Server) settingsHistory(ctx khttp.Context) error {
+	branch := ctx.Query().Get("branch")
+	all := s.settings.Changes(ctx.Request().Context())
+	changes := all[:0]
+	for _, change := range all {
+		if branch == "" || change.Branch == branch {
+			changes = append(changes, change)
+		}
+	}
+	return ctx.JSON(http.StatusOK, changes)
+}
+
+// contextWithTimeout returns the request's context with a time limit.
+func contextWithTimeout(r *http.Request, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), d)
+}
--- /dev/null
+++ b/pkg/entry/policy.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"sort"
+
+	"github.com/cornelline/cornelline/pkg/admission"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/outlier"
+	"github.com/cornelline/cornelline/pkg/route"
+	"github.com/cornelline/cornelline/pkg/settings"
+)
+
+// admissionConfig returns the admission limits in force.
+func admissionConfig(d *directory) admission.Config {
+	cfg := admission.DefaultConfig()
+	cfg.Depth = int(d.local.Admission.Depth)
+	cfg.Headroom = d.local.Admission.Headroom
+	cfg.Weights = make(map[fleet.TeamID]float64, len(d.teams))
+	for _, id := range d.teams {
+		cfg.Weights[id] = d.team(id).Team.Weight
+	}
+	for r := range cfg.Shares {
+		view := d.rank(fleet.Rank(r))
+		cfg.Shares[r] = view.Rank.GuaranteedShare
+		cfg.MaxQueued[r] = int(view.Limits.Queue)
+	}
+	return cfg
+}
+
+// outlierConfig returns the limits of outlier detection in force.
+func outlierConfig(view *settings.View) outlier.Config {
+	cfg := outlier.DefaultConfig()
+	cfg.Consecutive = int(view.Outlier.ConsecutiveFailures)
+	cfg.LatencyFactor = view.Outlier.SlowFactor
+	cfg.MinSamples = int(view.Outlier.MinRequests)
+	cfg.MaxEjected = view.Outlier.MaxEjected
+	cfg.BaseEjection = view.Outlier.Ejection
+	cfg.MaxEjection = view.Outlier.EjectionMax
+	cfg.Ramp = view.Outlier.ReturnOver
+	return cfg
+}
+
+// mayUse reports whether a team may use a model.
+func (d *directory) mayUse(team fleet.TeamID, model fleet.ModelID) bool {
+	allowed := d.team(team).Team.AllowedModels
+	if len(allowed) == 0 {
+		return true
+	}
+	for _, name := range allowed {
+		if name == string(model) {
+			return true
+		}
+	}
+	return false
+}
+
+func sortEngines(list []route.Engine) {
+	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
+}
+
+func sortStatus(list []upstreamStatus) {
+	sort.Slice(list, func(a, b int) bool { return list[a].Upstream < list[b].Upstream })
+}
--- /dev/null
+++ b/pkg/entry/upstreams.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/route"
+	"github.com/cornelline/cornelline/pkg/settings"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// newCondition starts to follow an upstream; an engine's state and cache events
+// are polled until the condition is stopped.
+func (s *Server) newCondition(id fleet.UpstreamID, view *settings.View) *condition {
+	c := &condition{
+		id: id, view: view, address: view.Upstream.Address,
+		load: new(route.Load), prefixes: new(route.PrefixTable), stageScale: 1,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop = cancel
+	if !c.isEngine() {
+		return c
+	}
+	c.engine = upstream.NewHTTPEngine(id, c.address, s.client, upstream.WithSilence(view.Upstreams.Silence))
+	s.watchers.Go(func() { s.pollState(ctx, id, c.engine, view.Upstreams.StatePoll) })
+	s.watchers.Go(func() { pollCache(ctx, c.engine, c.prefixes, view.Upstreams.StatePoll) })
+	return c
+}
+
+// pollState reads an engine's state until ctx ends.
+func (s *Server) pollState(ctx context.Context, id fleet.UpstreamID, engine upstream.Engine, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		asked := time.Now()
+		state, err := engine.State(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		s.control.reported(id, asked, state, err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// pollCache follows an engine's cache events until ctx ends. After a gap the
+// table starts anew, because dropped prefixes may have been missed.
+func pollCache(ctx context.Context, engine upstream.Engine, table *route.PrefixTable, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	var next uint64
+	for {
+		batch, err := engine.CacheEvents(ctx, next)
+		if err == nil {
+			next = applyCacheEvents(batch, next, table)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// applyCacheEvents books a page of events and returns where the next one begins.
+func applyCacheEvents(batch upstream.CacheEventBatch, next uint64, table *route.PrefixTable) uint64 {
+	if batch.Next < next {
+		table.Reset() // the engine restarted and counts anew
+	}
+	for _, e := range batch.Events {
+		if e.Dropped {
+			table.Drop(e.PrefixHash)
+		} else {
+			table.Add(e.PrefixHash)
+		}
+	}
+	return batch.Next
+}
+
+// probe reports whether an upstream answers over a new connection.
+func (s *Server) probe(ctx context.Context, c *condition) bool {
+	if !c.isEngine() {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.address)
+		if err != nil {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	}
+	_, err := c.engine.Progress(ctx, "probe")
+	var e *upstream.Error
+	return err == nil || errors.As(err, &e) && e.Status != 0
+}
