Add the settings tree, claims, leases, the replica and confirmations

Cause: settings, idempotency claims and leases need one rule for all readers of the log. Change: a table of settings with strict decoding and inheritance, the claim register, lease epochs, the replica as a state machine with a runner over the log, and the executor of a call that must not be repeated. Result code 4004 tells that an earlier call with the key was given up before it was sent. Conclusion: a first working version; lost append answers are resolved by reading back.

--- /dev/null
+++ b/pkg/replica/runner.go
@@ -0,0 +1,550 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/claim"
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/lease"
+	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/record"
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/settings"
+)
+
+// Times of the runner.
+const (
+	// callTimeout bounds one call to the log; its result is then unknown.
+	callTimeout = 5 * time.Second
+	// outageRetryAfter is what callers are told while the log doesn't answer.
+	outageRetryAfter = 2 * time.Second
+	// progressRetryAfter is what callers are told while a claim is pending.
+	progressRetryAfter = 500 * time.Millisecond
+	// maxKeyAhead is how far a key's time may lie in the future, for clocks that differ.
+	maxKeyAhead = time.Minute
+)
+
+// View is what request goroutines read. It is immutable.
+type View struct {
+	Tree   *settings.Tree
+	Leases *lease.Table
+	// Offset is the last applied offset, Highest the highest heard of anywhere.
+	Offset, Highest uint64
+	Ready           bool
+	// LogUp is false while the log doesn't answer.
+	LogUp bool
+}
+
+// RunnerConfig configures a Runner.
+type RunnerConfig struct {
+	Config
+	Log    platform.Log
+	Stream string
+	VM     fleet.VMID
+	Params Parameters
+	Events *event.Logger
+	// PendingLimit is the age at which a claim without a done record counts as
+	// unknown instead of in progress. It must exceed the longest route timeout.
+	PendingLimit time.Duration
+	// HolderGone reports that a VM is known to have ended; nil knows of none.
+	HolderGone func(fleet.VMID) bool
+}
+
+// Runner drives a Replica over the platform's log. Its own goroutine owns the
+// replica; calls to the log run in others.
+type Runner struct {
+	cfg      RunnerConfig
+	replica  *Replica
+	commands chan func(now time.Time) []Action
+	view     atomic.Pointer[View]
+	waiters  map[record.ID]chan outcome
+	onChange atomic.Pointer[func(*View)]
+	onLease  atomic.Pointer[func(LeasesAction)]
+	history  []Change
+	stopped  chan struct{}
+	downAt   time.Time
+}
+
+// outcome answers a proposal.
+type outcome struct {
+	decided bool
+	verdict Verdict
+	sent    bool
+}
+
+// Change is one settings record as GET /v1/settings-history returns it.
+type Change struct {
+	Offset uint64    `json:"offset"`
+	At     time.Time `json:"at"`
+	Branch string    `json:"branch"`
+	Base   uint64    `json:"base"`
+	Author string    `json:"author"`
+	Valid  bool      `json:"valid"`
+	Reason string    `json:"reason,omitempty"`
+}
+
+// historyLength is the number of settings records kept for Changes.
+const historyLength = 256
+
+// NewRunner returns a runner; Run starts it.
+func NewRunner(cfg RunnerConfig) *Runner {
+	if cfg.NewID == nil {
+		cfg.NewID = record.NewID
+	}
+	if cfg.Events == nil {
+		cfg.Events = event.Discard()
+	}
+	r := &Runner{
+		cfg: cfg, replica: New(cfg.Config, cfg.Params), commands: make(chan func(time.Time) []Action),
+		waiters: map[record.ID]chan outcome{}, stopped: make(chan struct{}),
+	}
+	r.publish()
+	return r
+}
+
+// View returns the state in force.
+func (r *Runner) View() *View { return r.view.Load() }
+
+// OnChange sets a function that is called, from the runner's goroutine, after
+// each change of the view. It must not call the runner's blocking methods.
+func (r *Runner) OnChange(f func(*View)) { r.onChange.Store(&f) }
+
+// OnLease sets a function that is called, from the runner's goroutine, for each
+// valid lease record. It must not call the runner's blocking methods.
+func (r *Runner) OnLease(f func(LeasesAction)) { r.onLease.Store(&f) }
+
+// Run drives the replica until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	defer close(r.stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-r.commands:
+			r.perform(ctx, f(time.Now()))
+		case <-timer.C:
+			r.perform(ctx, r.replica.Tick(time.Now()))
+		}
+		now := time.Now()
+		timer.Reset(r.replica.Wake(now).Sub(now))
+	}
+}
+
+// do runs f in the runner's goroutine and waits for it. It returns false when the runner has ended.
+func (r *Runner) do(ctx context.Context, f func(now time.Time) []Action) bool {
+	done := make(chan struct{})
+	command := func(now time.Time) []Action {
+		defer close(done)
+		return f(now)
+	}
+	select {
+	case r.commands <- command:
+		<-done
+		return true
+	case <-r.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// perform carries out actions.
+func (r *Runner) perform(ctx context.Context, actions []Action) {
+	changed := false
+	for _, a := range actions {
+		switch a := a.(type) {
+		case AppendAction:
+			go r.append(ctx, a)
+		case ReadAction:
+			go r.read(ctx, a)
+		case DecidedAction:
+			r.answer(a.Verdict.ID, outcome{decided: true, verdict: a.Verdict, sent: true})
+		case UndecidedAction:
+			r.answer(a.ID, outcome{sent: a.Sent})
+		default:
+			r.tell(a)
+			changed = true
+		}
+	}
+	r.publish()
+	if f := r.onChange.Load(); changed && f != nil {
+		(*f)(r.View())
+	}
+}
+
+// tell logs an action and calls back.
+func (r *Runner) tell(a Action) {
+	switch a := a.(type) {
+	case SettingsAction:
+		r.tellSettings(a)
+	case SnapshotAction:
+		if a.Mismatch {
+			r.cfg.Events.Log(event.SnapshotMismatch).Str("stream", r.cfg.Stream).Uint64("covers", a.Covers).Send()
+		}
+		if a.Own {
+			r.cfg.Events.Log(event.SnapshotWritten).Str("stream", r.cfg.Stream).Uint64("covers", a.Covers).Send()
+		}
+	case LeasesAction:
+		if f := r.onLease.Load(); f != nil {
+			(*f)(a)
+		}
+	case LogAction:
+		r.tellLog(a)
+	}
+}
+
+func (r *Runner) tellLog(a LogAction) {
+	if !a.Available {
+		r.downAt = time.Now()
+		r.cfg.Events.Log(event.LogUnavailable).Str("stream", r.cfg.Stream).AnErr("error", a.Err).Send()
+		return
+	}
+	r.cfg.Events.Log(event.LogBack).Str("stream", r.cfg.Stream).Int64("away_ms", time.Since(r.downAt).Milliseconds()).Send()
+}
+
+func (r *Runner) tellSettings(a SettingsAction) {
+	c := Change{
+		Offset: a.Verdict.Offset, At: a.At, Branch: a.Change.Branch, Base: a.Change.Base,
+		Author: a.Change.Author, Valid: a.Verdict.Valid(),
+	}
+	if c.Valid {
+		r.cfg.Events.Log(event.SettingsApplied).Str("branch", c.Branch).Uint64("version", c.Offset).Str("author", c.Author).Send()
+	} else {
+		c.Reason = "repeated record"
+		if a.Verdict.Err != nil {
+			c.Reason = a.Verdict.Err.Error()
+		}
+		r.cfg.Events.Log(event.SettingsVoid).Str("branch", c.Branch).Uint64("offset", c.Offset).Str("reason", c.Reason).Send()
+	}
+	if len(r.history) == historyLength {
+		r.history = r.history[1:]
+	}
+	r.history = append(r.history, c)
+}
+
+func (r *Runner) publish() {
+	s := r.replica.State()
+	next := View{
+		Tree: s.Tree, Leases: s.Leases, Offset: s.Offset, Highest: r.replica.Highest(),
+		Ready: r.replica.Ready(), LogUp: r.replica.LogUp(),
+	}
+	if old := r.view.Load(); old == nil || *old != next {
+		r.view.Store(&next)
+	}
+}
+
+func (r *Runner) answer(id record.ID, o outcome) {
+	if w, ok := r.waiters[id]; ok {
+		delete(r.waiters, id)
+		w <- o
+	}
+}
+
+// append performs one append and reports its result.
+func (r *Runner) append(ctx context.Context, a AppendAction) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := r.cfg.Log.Append(call, r.cfg.Stream, a.Records)
+	r.do(ctx, func(now time.Time) []Action { return r.replica.AppendDone(err, now) })
+}
+
+// read performs one read and reports its result.
+func (r *Runner) read(ctx context.Context, a ReadAction) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	batch, err := r.cfg.Log.Read(call, r.cfg.Stream, a.From, a.Max)
+	r.do(ctx, func(now time.Time) []Action { return r.replica.ReadDone(batch, err, now) })
+}
+
+// Reconfigure replaces the parameters that come from the settings.
+func (r *Runner) Reconfigure(ctx context.Context, p Parameters) {
+	r.do(ctx, func(now time.Time) []Action { return r.replica.Reconfigure(p, now) })
+}
+
+// SnapshotOffered gives a peer's snapshot; one with Covers 0 says that the peer has none.
+func (r *Runner) SnapshotOffered(ctx context.Context, peer string, snap record.Snapshot) {
+	r.do(ctx, func(now time.Time) []Action { return r.replica.SnapshotOffered(peer, snap, now) })
+}
+
+// HighestHeard gives the highest offset that a peer has heard of.
+func (r *Runner) HighestHeard(ctx context.Context, peer string, offset uint64) {
+	r.do(ctx, func(now time.Time) []Action { return r.replica.HighestHeard(peer, offset, now) })
+}
+
+// Records gives records that a peer relayed, in offset order.
+func (r *Runner) Records(ctx context.Context, records []platform.Record) {
+	r.do(ctx, func(now time.Time) []Action { return r.replica.Records(records, now) })
+}
+
+// Snapshot returns a snapshot for a peer.
+func (r *Runner) Snapshot(ctx context.Context) (snap record.Snapshot, err error) {
+	err = errStopped
+	r.do(ctx, func(now time.Time) []Action {
+		snap, err = r.replica.Snapshot(now)
+		return nil
+	})
+	return snap, err
+}
+
+// Changes returns the last settings records, oldest first.
+func (r *Runner) Changes(ctx context.Context) (changes []Change) {
+	r.do(ctx, func(time.Time) []Action {
+		changes = append(changes, r.history...)
+		return nil
+	})
+	return changes
+}
+
+var errStopped = errors.New("replica: the runner has ended")
+
+// propose appends a record and waits for its verdict. It returns false for
+// decided when ctx ended first; sent then says whether the record may be on the log.
+func (r *Runner) propose(ctx context.Context, rec record.Record) outcome {
+	data, err := record.Encode(rec)
+	if err != nil {
+		return outcome{}
+	}
+	answer := make(chan outcome, 1)
+	ok := r.do(ctx, func(now time.Time) []Action {
+		r.waiters[rec.ID] = answer
+		return r.replica.Propose(rec.ID, data, now)
+	})
+	if !ok {
+		return outcome{}
+	}
+	select {
+	case o := <-answer:
+		return o
+	case <-r.stopped:
+		return outcome{sent: true}
+	case <-ctx.Done():
+	}
+	return r.abandon(rec.ID, answer)
+}
+
+// abandon gives a proposal up. The replica answers at once.
+func (r *Runner) abandon(id record.ID, answer chan outcome) outcome {
+	r.do(context.Background(), func(now time.Time) []Action {
+		if _, waiting := r.waiters[id]; !waiting {
+			return nil
+		}
+		return r.replica.Abandon(id, now)
+	})
+	select {
+	case o := <-answer:
+		return o
+	case <-r.stopped:
+		return outcome{sent: true}
+	}
+}
+
+// ProposeSettings appends a settings change and returns the branch's new version
+// once the change is read back as valid. The error is a *result.Error.
+func (r *Runner) ProposeSettings(ctx context.Context, change record.Settings) (uint64, error) {
+	view := r.View()
+	if !view.LogUp {
+		return 0, unavailable("the change was not sent to the log")
+	}
+	// A change that fails the checks now fails them on the log as well, unless
+	// this replica is behind; a conflict is left to the log.
+	var invalid *settings.CheckError
+	if err := view.Tree.Check(change); errors.As(err, &invalid) && view.Offset == view.Highest {
+		return 0, settingsError(err)
+	}
+	o := r.propose(ctx, record.Record{ID: r.cfg.NewID(), Kind: record.KindSettings, Settings: &change})
+	switch {
+	case o.decided && o.verdict.Valid():
+		return o.verdict.Offset, nil
+	case o.decided:
+		return 0, settingsError(o.verdict.Err)
+	case o.sent:
+		return 0, result.New(result.SettingsPending, result.OutcomeUnknown, "the log did not confirm the change; it may still become valid")
+	}
+	return 0, unavailable("the change was not sent to the log")
+}
+
+func unavailable(detail string) *result.Error {
+	return result.New(result.LogUnavailable, result.NotRun, "the log does not answer; %s", detail).WithRetryAfter(outageRetryAfter)
+}
+
+// settingsError returns the result error of a void settings change.
+func settingsError(err error) *result.Error {
+	var conflict *settings.ConflictError
+	if errors.As(err, &conflict) {
+		return result.New(result.SettingsConflict, result.NotRun, "%v", err).WithCause(err)
+	}
+	return result.New(result.SettingsInvalid, result.NotRun, "%v", err).WithCause(err)
+}
+
+// TakeLease appends a lease record that builds on the epoch base. It returns the
+// new epoch and true once the record is read back as valid.
+func (r *Runner) TakeLease(ctx context.Context, resource string, base uint64) (epoch uint64, ok bool, err error) {
+	l := record.Lease{Resource: resource, Holder: r.cfg.VM, Base: base}
+	o := r.propose(ctx, record.Record{ID: r.cfg.NewID(), Kind: record.KindLease, Lease: &l})
+	if !o.decided {
+		return 0, false, unavailable("the lease record was not read back")
+	}
+	return o.verdict.Epoch, o.verdict.Valid(), nil
+}
+
+// ClaimRequest asks for the right to send one non-repeatable call.
+type ClaimRequest struct {
+	Team  fleet.TeamID
+	Route fleet.RouteID
+	// Key is the caller's idempotency key.
+	Key string
+	// Body is the SHA-256 hash of the request body.
+	Body [32]byte
+}
+
+// Decision is the answer to a claim.
+type Decision struct {
+	// Claim is the identity of the valid claim when Replay is nil: its holder may send once.
+	Claim record.ID
+	// Replay is the recorded outcome of an earlier call with the same key and body.
+	Replay *record.Done
+}
+
+// Claim claims a key and waits until the claim is read back as valid. With an
+// error nothing was sent under this request and nothing may be. The error is a *result.Error.
+func (r *Runner) Claim(ctx context.Context, req ClaimRequest) (Decision, error) {
+	c, refused := r.claimRecord(req, time.Now())
+	if refused != nil {
+		return Decision{}, refused
+	}
+	if d, known, err := r.known(ctx, c); known {
+		return d, err
+	}
+	if !r.View().LogUp {
+		return Decision{}, unavailable("nothing was claimed")
+	}
+	id := r.cfg.NewID()
+	o := r.propose(ctx, record.Record{ID: id, Kind: record.KindClaim, Claim: c})
+	switch {
+	case !o.decided:
+		return Decision{}, unavailable("the claim was given up before anything was sent")
+	case o.verdict.Valid():
+		return Decision{Claim: id}, nil
+	case o.verdict.Reason == Expired:
+		return Decision{}, keyExpired()
+	}
+	if d, known, err := r.known(ctx, c); known {
+		return d, err
+	}
+	return Decision{}, unavailable("the claim's state could not be read")
+}
+
+// claimRecord checks the key and returns the claim record.
+func (r *Runner) claimRecord(req ClaimRequest, now time.Time) (*record.Claim, error) {
+	key, err := claim.ParseKey(req.Key)
+	if err != nil {
+		return nil, result.New(result.InvalidHeader, result.NotRun, "the idempotency key must be a version 7 UUID").WithCause(err)
+	}
+	keyTime, _ := claim.KeyTime(key)
+	if keyTime.After(now.Add(maxKeyAhead)) {
+		return nil, result.New(result.InvalidHeader, result.NotRun, "the idempotency key's time is in the future")
+	}
+	window := r.params().Window
+	if now.Sub(keyTime) > window {
+		return nil, keyExpired()
+	}
+	return &record.Claim{Team: req.Team, Route: req.Route, Key: key, BodyHash: req.Body, Holder: r.cfg.VM}, nil
+}
+
+// keyExpired says unknown, because an earlier call with the key may have run.
+func keyExpired() *result.Error {
+	return result.New(result.KeyExpired, result.OutcomeUnknown, "the idempotency key is older than claims.window; an earlier call with it may have run")
+}
+
+// params returns the parameters in force.
+func (r *Runner) params() (p Parameters) {
+	r.do(context.Background(), func(time.Time) []Action {
+		p = r.replica.p
+		return nil
+	})
+	return p
+}
+
+// known answers a claim from what the replica already knows. known is false for a free key.
+func (r *Runner) known(ctx context.Context, c *record.Claim) (d Decision, known bool, err error) {
+	var info claim.Info
+	now := time.Now()
+	if !r.do(ctx, func(time.Time) []Action {
+		info = r.replica.Lookup(c)
+		return nil
+	}) {
+		return d, true, unavailable("nothing was claimed")
+	}
+	switch info.Status {
+	case claim.Free:
+		return d, false, nil
+	case claim.Forgotten:
+		return d, true, keyExpired()
+	case claim.Reused:
+		return d, true, result.New(result.KeyReused, result.NotRun, "the idempotency key was used with another body")
+	case claim.Abandoned:
+		return d, true, result.New(result.ClaimAbandoned, result.NotRun, "an earlier call with the key was given up before it was sent; use a new key")
+	case claim.Finished:
+		d, err = r.replay(ctx, info.DoneOffset)
+		return d, true, err
+	}
+	return d, true, r.pendingError(info, now)
+}
+
+// pendingError tells apart a claim in progress and one whose holder is gone.
+func (r *Runner) pendingError(info claim.Info, now time.Time) *result.Error {
+	gone := r.cfg.HolderGone != nil && r.cfg.HolderGone(info.Holder)
+	if gone || now.Sub(info.Since) > r.cfg.PendingLimit {
+		return result.New(result.ClaimUnknown, result.OutcomeUnknown, "the holder of the claim recorded no outcome; the call may have run")
+	}
+	return result.New(result.ClaimInProgress, result.OutcomeUnknown, "a call with this key is in progress").WithRetryAfter(progressRetryAfter)
+}
+
+// replay reads the done record of a finished claim.
+func (r *Runner) replay(ctx context.Context, offset uint64) (Decision, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	batch, err := r.cfg.Log.Read(call, r.cfg.Stream, offset, 1)
+	if err == nil && len(batch.Records) > 0 && batch.Records[0].Offset == offset {
+		rec, err := record.Decode(batch.Records[0].Data)
+		if err == nil && rec.Kind == record.KindDone {
+			return Decision{Replay: rec.Done}, nil
+		}
+	}
+	return Decision{}, result.New(result.LogUnavailable, result.Ran, "the call ran, its recorded answer could not be read").
+		WithRetryAfter(outageRetryAfter).WithCause(err)
+}
+
+// Abandon gives up a granted claim whose call was certainly not sent. Nothing
+// may be sent under it afterwards.
+func (r *Runner) Abandon(claimID record.ID) {
+	r.do(context.Background(), func(now time.Time) []Action { return r.replica.Abandon(claimID, now) })
+}
+
+// Done records the outcome of a claimed call and waits until it is read back, at
+// most until ctx ends. The record is appended even when ctx has ended.
+func (r *Runner) Done(ctx context.Context, done record.Done) error {
+	id := r.cfg.NewID()
+	data, err := record.Encode(record.Record{ID: id, Kind: record.KindDone, Done: &done})
+	if err != nil {
+		return err
+	}
+	answer := make(chan outcome, 1)
+	r.do(context.Background(), func(now time.Time) []Action {
+		r.waiters[id] = answer
+		return r.replica.Propose(id, data, now)
+	})
+	select {
+	case <-answer:
+		return nil
+	case <-r.stopped:
+	case <-ctx.Done():
+	}
+	return unavailable("the outcome is not recorded yet")
+}
--- /dev/null
+++ b/pkg/replica/runner_test.go
@@ -0,0 +1,156 @@
+package replica_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/record"
+	"github.com/cornelline/cornelline/pkg/replica"
+	"github.com/cornelline/cornelline/pkg/result"
+)
+
+// fakeLog is a log in memory, with a fixed time an append and a limit on appends a second.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	first   uint64
+	latency time.Duration
+	// gap is the least time between two accepted appends; 0 for no limit.
+	gap  time.Duration
+	last time.Time
+	// loseAnswers and refuse fault the next appends: an append whose answer is
+	// lost takes effect, a refused one doesn't.
+	loseAnswers, dropCalls int
+	down                   bool
+	appends                int
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, records [][]byte) (uint64, error) {
+	time.Sleep(l.latency)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	switch {
+	case l.down:
+		return 0, platform.ErrUnavailable
+	case l.gap > 0 && now.Sub(l.last) < l.gap:
+		return 0, platform.ErrRateLimited
+	case l.dropCalls > 0:
+		l.dropCalls--
+		return 0, platform.ErrUnavailable
+	}
+	l.last = now
+	l.appends++
+	first := uint64(len(l.records)) + 1
+	for i, data := range records {
+		l.records = append(l.records, platform.Record{Offset: first + uint64(i), AppendedAt: now, Data: data})
+	}
+	if l.loseAnswers > 0 {
+		l.loseAnswers--
+		return 0, platform.ErrUnavailable
+	}
+	return first, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, from uint64, limit int) (platform.Batch, error) {
+	time.Sleep(time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := platform.Batch{First: max(1, l.first), Next: uint64(len(l.records)) + 1}
+	switch {
+	case l.down:
+		return platform.Batch{}, platform.ErrUnavailable
+	case from < b.First:
+		return b, platform.ErrTruncated
+	}
+	for o := from; o < b.Next && len(b.Records) < limit; o++ {
+		b.Records = append(b.Records, l.records[o-1])
+	}
+	return b, nil
+}
+
+// run starts a runner over the log and waits until it is ready.
+func run(ctx context.Context, l platform.Log, cfg replica.RunnerConfig) *replica.Runner {
+	cfg.Log = l
+	if cfg.Params == (replica.Parameters{}) {
+		cfg.Params = replica.DefaultParameters()
+	}
+	cfg.PendingLimit = time.Minute
+	r := replica.NewRunner(cfg)
+	go r.Run(ctx)
+	time.Sleep(2 * time.Second)
+	return r
+}
+
+func codeOf(err error) result.Code {
+	var e *result.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return 0
+}
+
+func newRequest(key string) replica.ClaimRequest {
+	return replica.ClaimRequest{Team: "mill", Route: "orders", Key: key, Body: sha256.Sum256([]byte("order"))}
+}
+
+// TestSettingsOverLostAnswers guards against a change that is reported as lost
+// or as a conflict although its append took effect, and against an append that
+// is never repeated.
+func TestSettingsOverLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := &fakeLog{latency: 10 * time.Millisecond, loseAnswers: 1}
+		r := run(ctx, l, replica.RunnerConfig{})
+		version, err := r.ProposeSettings(ctx, record.Settings{Branch: "fleet", Value: []byte(`{"drain":{"max":"90s"}}`)})
+		is.NoErr(err)
+		is.Equal(version, uint64(1))
+		time.Sleep(time.Second)
+		l.dropCalls = 1
+		version, err = r.ProposeSettings(ctx, record.Settings{Branch: "fleet", Base: 1, Value: []byte(`{"drain":{"max":"80s"}}`)})
+		is.NoErr(err)
+		is.Equal(version, uint64(2))
+		_, err = r.ProposeSettings(ctx, record.Settings{Branch: "fleet", Base: 1, Value: []byte(`{}`)})
+		is.Equal(codeOf(err), result.SettingsConflict)
+		_, err = r.ProposeSettings(ctx, record.Settings{Branch: "fleet", Base: 2, Value: []byte(`{"drain":{"max":90}}`)})
+		is.Equal(codeOf(err), result.SettingsInvalid)
+	})
+}
+
+// TestClaimOnce guards against two VMs that both may send for one key, and
+// against a repeated call that doesn't get the recorded answer.
+func TestClaimOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := &fakeLog{latency: 10 * time.Millisecond}
+		a := run(ctx, l, replica.RunnerConfig{VM: "a"})
+		b := run(ctx, l, replica.RunnerConfig{VM: "b"})
+		key := uuid.Must(uuid.NewV7()).String()
+		d, err := a.Claim(ctx, newRequest(key))
+		is.NoErr(err)
+		_, err = b.Claim(ctx, newRequest(key))
+		is.Equal(codeOf(err), result.ClaimInProgress)
+		is.NoErr(a.Done(ctx, record.Done{Claim: d.Claim, Status: 200, Body: []byte("ok")}))
+		time.Sleep(time.Second)
+		d, err = b.Claim(ctx, newRequest(key))
+		is.NoErr(err)
+		is.Equal(string(d.Replay.Body), "ok")
+		other := newRequest(key)
+		other.Body[0]++
+		_, err = b.Claim(ctx, other)
+		is.Equal(codeOf(err), result.KeyReused)
+	})
+}
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -44,6 +44,7 @@
 	LogUnavailable  Code = 4001
 	ClaimInProgress Code = 4002
 	ClaimUnknown    Code = 4003
+	ClaimAbandoned  Code = 4004
 )
 
 // Codes of settings.
@@ -97,6 +98,7 @@
 	LogUnavailable:  {"log_unavailable", http.StatusServiceUnavailable},
 	ClaimInProgress: {"claim_in_progress", http.StatusConflict},
 	ClaimUnknown:    {"claim_outcome_unknown", http.StatusConflict},
+	ClaimAbandoned:  {"claim_abandoned", http.StatusConflict},
 
 	SettingsInvalid:  {"settings_invalid", http.StatusBadRequest},
 	SettingsConflict: {"settings_conflict", http.StatusConflict},
--- /dev/null
+++ b/pkg/settings/check.go
@@ -0,0 +1,214 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+// check tests the rules that involve more than one setting, as far as a change
+// of the branch k can break them. before is the tree without the change.
+func (t *Tree) check(k branchKey, before *Tree) *CheckError {
+	switch k.level {
+	case LevelFleet, LevelRegion, LevelDataCentre:
+		return t.checkPlaces(k, before)
+	case LevelRank:
+		return t.checkShares(k)
+	case LevelTeam:
+		return t.checkTeam(k, before)
+	case LevelModel:
+		return t.checkModelRemoval(k)
+	case LevelRoute:
+		return t.checkRoute(k)
+	case LevelUpstream:
+		return t.checkUpstream(k)
+	}
+	return nil
+}
+
+func failed(k branchKey, name, format string, args ...any) *CheckError {
+	return &CheckError{Path: k.String() + ":" + name, Reason: fmt.Sprintf(format, args...)}
+}
+
+// checkPlaces tests the fleet-wide rules in every place that inherits from k.
+func (t *Tree) checkPlaces(k branchKey, before *Tree) *CheckError {
+	if k.level == LevelDataCentre {
+		if err := t.checkDataCentre(k, before); err != nil {
+			return err
+		}
+	}
+	if k.level == LevelFleet {
+		if err := t.checkOperators(k); err != nil {
+			return err
+		}
+	}
+	for _, s := range t.scopesBelow(k) {
+		if err := checkView(k, t.Effective(s)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// scopesBelow returns the scopes of the places, upstreams included, that k can affect.
+func (t *Tree) scopesBelow(k branchKey) []Scope {
+	scopes := []Scope{{}}
+	for dc, region := range t.index.regions {
+		if k.level == LevelFleet || string(region) == k.a {
+			scopes = append(scopes, Scope{Region: region, DataCentre: dc})
+		}
+	}
+	if k.level != LevelFleet {
+		scopes = append(scopes, Scope{Region: fleet.RegionID(k.a)})
+	}
+	slices.SortFunc(scopes, func(a, b Scope) int { return compareText(string(a.DataCentre), string(b.DataCentre)) })
+	return scopes
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// checkView tests the rules between settings of one place.
+func checkView(k branchKey, v *View) *CheckError {
+	switch {
+	case v.Claims.Window >= v.Log.Retention:
+		// A claim must outlive its key's window, otherwise a second claim could count.
+		return failed(k, "claims.window", "%s is not shorter than log.retention (%s)", v.Claims.Window, v.Log.Retention)
+	case v.Drain.Max < v.Address.ValidFor:
+		return failed(k, "drain.max", "%s is shorter than address.valid_for (%s)", v.Drain.Max, v.Address.ValidFor)
+	case v.Placement.ReadBack >= v.Placement.Lease:
+		return failed(k, "placement.read_back", "%s is not shorter than placement.lease (%s)", v.Placement.ReadBack, v.Placement.Lease)
+	case v.Membership.PingTimeout >= v.Membership.Ping:
+		return failed(k, "membership.ping_timeout", "%s is not shorter than membership.ping (%s)", v.Membership.PingTimeout, v.Membership.Ping)
+	case v.Outlier.Ejection > v.Outlier.EjectionMax:
+		return failed(k, "outlier.ejection", "%s is longer than outlier.ejection_max (%s)", v.Outlier.Ejection, v.Outlier.EjectionMax)
+	}
+	return nil
+}
+
+// checkDataCentre keeps a data centre in one region and in the tree while upstreams name it.
+func (t *Tree) checkDataCentre(k branchKey, before *Tree) *CheckError {
+	dc := fleet.DataCentreID(k.b)
+	if t.live(k) != nil {
+		if region, ok := before.index.regions[dc]; ok && string(region) != k.a {
+			return &CheckError{Path: k.String(), Reason: fmt.Sprintf("data centre %s is already in region %s", dc, region)}
+		}
+		return nil
+	}
+	for _, id := range t.Upstreams() {
+		if t.live(branchKey{LevelUpstream, string(id), ""}).text("data_centre") == k.b {
+			return &CheckError{Path: k.String(), Reason: fmt.Sprintf("upstream %s is in this data centre", id)}
+		}
+	}
+	return nil
+}
+
+// checkShares keeps the sum of the guaranteed shares at or below 1.
+func (t *Tree) checkShares(k branchKey) *CheckError {
+	sum := 0.0
+	for r := range fleet.RankCount {
+		sum += t.Effective(Scope{Rank: fleet.Rank(r).String()}).Rank.GuaranteedShare
+	}
+	// The tolerance admits sums such as 0.7+0.2+0.1, which exceed 1 by a rounding error.
+	const tolerance = 1e-9
+	if sum > 1+tolerance {
+		return failed(k, "guaranteed_share", "the guaranteed shares of all ranks sum to %.4g, over 1", sum)
+	}
+	return nil
+}
+
+// checkOperators keeps an operator's key from being a team's key as well.
+func (t *Tree) checkOperators(k branchKey) *CheckError {
+	for _, h := range t.Effective(Scope{}).Operators.KeyHashes {
+		if team, ok := t.index.keys[h]; ok {
+			return failed(k, "operators.key_hashes", "team %s has the same key", team)
+		}
+	}
+	return nil
+}
+
+// checkTeam keeps keys unique and models known.
+func (t *Tree) checkTeam(k branchKey, before *Tree) *CheckError {
+	b := t.live(k)
+	if b == nil {
+		return nil
+	}
+	for _, h := range b.names("key_hashes") {
+		if owner, ok := before.index.keys[h]; ok && string(owner) != k.a {
+			return failed(k, "key_hashes", "team %s has the same key", owner)
+		}
+		if t.IsOperatorKeyHash(h) {
+			return failed(k, "key_hashes", "an operator has the same key")
+		}
+	}
+	for _, m := range b.names("allowed_models") {
+		if !t.index.models[fleet.ModelID(m)] {
+			return failed(k, "allowed_models", "unknown model %s", m)
+		}
+	}
+	return nil
+}
+
+// checkModelRemoval keeps a model in the tree while teams name it.
+func (t *Tree) checkModelRemoval(k branchKey) *CheckError {
+	if t.live(k) != nil {
+		return nil
+	}
+	for _, id := range t.Teams() {
+		if slices.Contains(t.live(branchKey{LevelTeam, string(id), ""}).names("allowed_models"), k.a) {
+			return &CheckError{Path: k.String(), Reason: fmt.Sprintf("team %s names this model", id)}
+		}
+	}
+	return nil
+}
+
+// checkRoute requires that a route leads to plain services only.
+func (t *Tree) checkRoute(k branchKey) *CheckError {
+	b := t.live(k)
+	if b == nil {
+		return nil
+	}
+	servers := b.names("upstreams")
+	if len(servers) == 0 {
+		return failed(k, "upstreams", "want at least one upstream")
+	}
+	for _, id := range servers {
+		u := t.live(branchKey{LevelUpstream, id, ""})
+		if u == nil {
+			return failed(k, "upstreams", "unknown upstream %s", id)
+		}
+		if u.text("kind") != KindService {
+			return failed(k, "upstreams", "upstream %s is not a service", id)
+		}
+	}
+	return nil
+}
+
+// checkUpstream tests an upstream and the routes that lead to it.
+func (t *Tree) checkUpstream(k branchKey) *CheckError {
+	b := t.live(k)
+	for _, id := range t.Routes() {
+		names := t.live(branchKey{LevelRoute, string(id), ""}).names("upstreams")
+		if (b == nil || b.text("kind") != KindService) && slices.Contains(names, k.a) {
+			return failed(k, "kind", "route %s leads to this service", id)
+		}
+	}
+	if b == nil {
+		return nil
+	}
+	if dc := b.text("data_centre"); t.index.regions[fleet.DataCentreID(dc)] == "" {
+		return failed(k, "data_centre", "unknown data centre %s", dc)
+	}
+	if memory, _ := b.vals["memory_bytes"].(int64); b.text("kind") == KindEngine && memory <= 0 {
+		return failed(k, "memory_bytes", "an engine needs a memory size")
+	}
+	return nil
+}
