--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -115,7 +115,6 @@
 func (c *control) tick(now time.Time) {
 	c.send(c.members.Tick(now))
 	c.act(c.detector.Tick(now, c.actions[:0]))
-	c.server.placementTick(now)
 	c.publish(now)
 	c.server.gate.tick()
 	c.setCapacities()
@@ -203,7 +202,6 @@
 		}
 		condition.state, condition.reported = state, true
 		condition.load.Report(asked, state.Running+state.Waiting, c.otherVMs())
-		c.server.placementReported(now, state)
 		c.dirty = true
 	})
 }
--- /dev/null
+++ b/pkg/entry/runner.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/replica"
+	"github.com/cornelline/cornelline/pkg/settings"
+)
+
+// pendingClaimLimit is the age at which a claim without an outcome counts as
+// unknown. It exceeds the default route timeout of 5 s by the time of two log calls.
+const pendingClaimLimit = 15 * time.Second
+
+// snapshotJitterMax spreads the VMs' snapshots, so that the first one to write
+// has been read by the others before they would write their own.
+const snapshotJitterMax = 30 * time.Second
+
+// newRunner returns the runner of one stream of the log.
+func (s *Server) newRunner(log platform.Log, stream string) *replica.Runner {
+	return replica.NewRunner(replica.RunnerConfig{
+		Config: replica.Config{
+			Seeds:          len(s.cfg.Seeds),
+			Jitter:         time.Duration(hashOf(string(s.cfg.VM)) % uint64(snapshotJitterMax)),
+			StartFromPeers: stream == platform.SettingsStream,
+		},
+		Log: log, Stream: stream, VM: s.cfg.VM, Events: s.log,
+		Params:       replica.ParametersOf(settings.Empty().Effective(settings.Scope{})),
+		PendingLimit: pendingClaimLimit,
+	})
+}
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -263,5 +262,3 @@
 	}
 	return ctx.Blob(http.StatusOK, "application/json", explanation)
 }
-
-var _ = fmt.Sprint
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -37,7 +37,7 @@
 	body := statusBody{
 		VM: s.cfg.VM, Version: Version, Ready: s.ready(), Draining: draining, InFlight: inFlight,
 		SettingsOffset: s.settings.View().Offset, HighestOffset: view.members.Highest,
-		LogAvailable: s.settings.View().LogAvailable, ClaimsAvailable: s.claims.View().LogAvailable,
+		LogAvailable: s.settings.View().LogUp, ClaimsAvailable: s.claims.View().LogUp,
 		Queued: map[string]int{}, Members: []vmAddress{}, Upstreams: view.upstreams, Rehearsals: s.injector.Active(),
 	}
 	for r, n := range s.gate.queued() {
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -4,11 +4,12 @@
 
 // Lifecycle events.
 const (
-	Started      ID = 101
-	Stopped      ID = 102
-	DrainStarted ID = 103
-	DrainEnded   ID = 104
-	StartFailed  ID = 105
+	Started          ID = 101
+	Stopped          ID = 102
+	DrainStarted     ID = 103
+	DrainEnded       ID = 104
+	StartFailed      ID = 105
+	TransportWarning ID = 106
 )
 
 // Request events.
@@ -37,11 +38,12 @@
 )
 
 var definitions = map[ID]definition{
-	Started:      {"started", zerolog.InfoLevel},
-	Stopped:      {"stopped", zerolog.InfoLevel},
-	DrainStarted: {"drain_started", zerolog.InfoLevel},
-	DrainEnded:   {"drain_ended", zerolog.InfoLevel},
-	StartFailed:  {"start_failed", zerolog.ErrorLevel},
+	Started:          {"started", zerolog.InfoLevel},
+	Stopped:          {"stopped", zerolog.InfoLevel},
+	DrainStarted:     {"drain_started", zerolog.InfoLevel},
+	DrainEnded:       {"drain_ended", zerolog.InfoLevel},
+	StartFailed:      {"start_failed", zerolog.ErrorLevel},
+	TransportWarning: {"transport_warning", zerolog.WarnLevel},
 
 	RequestDone:    {"request_done", zerolog.InfoLevel},
 	RequestRefused: {"request_refused", zerolog.InfoLevel},
