Add the demo driver

Cause: make demo must show the whole path as separate processes. Change: a driver that starts stand-ins and four entry VMs and checks answers.

--- /dev/null
+++ b/cmd/demo/steps.go
@@ -0,0 +1,425 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/cli"
+	"github.com/cornelline/cornelline/pkg/standin"
+	"github.com/cornelline/cornelline/pkg/tokens"
+)
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// call sends a request with a key and headers and returns the answer.
+func call(ctx context.Context, method, url, key string, header map[string]string, body any) (*http.Response, []byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return nil, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode >= http.StatusBadRequest {
+		err = fmt.Errorf("%s %s: %s: %s", method, url, resp.Status, bytes.TrimSpace(answer))
+	}
+	return resp, answer, err
+}
+
+// applySettings puts the settings of the demo through the operators' API.
+func applySettings(ctx context.Context, c *cluster) error {
+	data, err := json.Marshal(c.settings())
+	if err != nil {
+		return err
+	}
+	branches, err := cli.DecodeBranches(data)
+	if err != nil {
+		return err
+	}
+	base := "http://" + c.vms[0].Address + "/v1/settings/"
+	for _, b := range branches {
+		_, _, err := call(ctx, http.MethodPut, base+b.Path, operatorKey, map[string]string{"If-Match": `"0"`}, b.Value)
+		if err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d branches accepted through %s\n", len(branches), c.vms[0].VM)
+	return c.waitInForce(ctx)
+}
+
+// waitInForce waits until every VM serves the model.
+func (c *cluster) waitInForce(ctx context.Context) error {
+	began := time.Now()
+	for _, vm := range c.vms {
+		for {
+			_, answer, err := call(ctx, http.MethodGet, "http://"+vm.Address+"/v1/models", teamKey, nil, nil)
+			if err == nil && strings.Contains(string(answer), string(modelID)) {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("settings are not in force at %s: %w", vm.VM, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	fmt.Printf("in force on all %d VMs after %d ms\n", len(c.vms), time.Since(began).Milliseconds())
+	time.Sleep(time.Second) // the engines' states are polled every 500 ms
+	return nil
+}
+
+// settings returns the tree of the demo.
+func (c *cluster) settings() map[string]any {
+	tree := map[string]any{
+		"fleet": map[string]any{
+			"operators": map[string]any{"key_hashes": []string{hash(operatorKey)}},
+			"address":   map[string]any{"valid_for": "2s"},
+		},
+		"model/" + string(modelID): map[string]any{"layers": modelLayers, "version": modelVersion, "bytes_per_layer": 1 << 20},
+		"route/booking": map[string]any{
+			"path": "/booking", "repeatable": false, "upstreams": []string{"booking-1", "booking-2", "booking-3"},
+		},
+		"route/stock": map[string]any{
+			"path": "/stock", "repeatable": true, "upstreams": []string{"booking-1", "booking-2", "booking-3"},
+		},
+		"team/" + teamID: map[string]any{"key_hashes": []string{hash(teamKey)}, "default_rank": "urgent"},
+	}
+	for _, dc := range []string{"gossau", "wil", "herisau"} {
+		tree["fleet/region/"+string(region)+"/dc/"+dc] = map[string]any{}
+	}
+	for i, e := range c.standins.Engines {
+		speed := 1.0
+		if !c.specs[i].fast {
+			speed = 0.4
+		}
+		tree["upstream/"+e.ID] = map[string]any{
+			"kind": "engine", "address": e.Listen, "data_centre": c.specs[i].dc, "speed": speed,
+			"memory_bytes": 1 << 30, "slots": e.Slots, "fencing": "enforced",
+		}
+	}
+	for _, s := range c.standins.Services {
+		tree["upstream/"+s.ID] = map[string]any{"kind": "service", "address": s.Listen, "data_centre": "gossau"}
+	}
+	return tree
+}
+
+func showAddress(ctx context.Context, c *cluster) error {
+	_, answer, err := call(ctx, http.MethodGet, "http://"+c.vms[0].Address+"/v1/address", teamKey, nil, nil)
+	fmt.Printf("%s", answer)
+	return err
+}
+
+// chatBody returns a chat completions request.
+func chatBody(prompt string, tokens int, stream bool) map[string]any {
+	return map[string]any{
+		"model": modelID, "stream": stream, "max_tokens": tokens,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	}
+}
+
+// expected returns the right answer to a prompt, computed without stages.
+func expected(prompt string, limit int) string {
+	text := fmt.Sprintf("<|user|>%s\n<|assistant|>", prompt)
+	t := tokens.ByteLevel{}
+	return tokens.DecodeAll(t, standin.ExpectedTokens(modelID, modelVersion, "", modelLayers, t.Encode(text), limit))
+}
+
+// allRanks sends one plain request of each rank through a different VM each.
+func allRanks(ctx context.Context, c *cluster) error {
+	for i, rank := range []string{"urgent", "lookup", "overnight"} {
+		prompt := "Care notes for a hop bine wreath, " + rank
+		began := time.Now()
+		resp, answer, err := call(ctx, http.MethodPost, "http://"+c.vms[i].Address+"/v1/chat/completions", teamKey,
+			map[string]string{"Cornelline-Rank": rank, "Cornelline-Deadline": "20s"}, chatBody(prompt, 24, false))
+		if err != nil {
+			return err
+		}
+		got, err := plainText(answer)
+		if err != nil {
+			return err
+		}
+		if got != expected(prompt, 24) {
+			return fmt.Errorf("rank %s: wrong answer %q, want %q", rank, got, expected(prompt, 24))
+		}
+		fmt.Printf("%-9s via %s: right after %d ms, request %s\n", rank, c.vms[i].VM, time.Since(began).Milliseconds(), resp.Header.Get("Cornelline-Request-Id"))
+	}
+	return nil
+}
+
+func plainText(answer []byte) (string, error) {
+	var body struct {
+		Choices []struct {
+			Message struct{ Content string }
+		}
+	}
+	if err := json.Unmarshal(answer, &body); err != nil || len(body.Choices) != 1 {
+		return "", fmt.Errorf("not a chat completion: %s", answer)
+	}
+	return body.Choices[0].Message.Content, nil
+}
+
+// bookTwice sends the same booking through two VMs at once and counts its runs.
+func bookTwice(ctx context.Context, c *cluster) error {
+	_, answer, err := call(ctx, http.MethodPost, "http://"+c.vms[0].Address+"/v1/idempotency-keys", teamKey, nil, nil)
+	if err != nil {
+		return err
+	}
+	var made struct{ Key string }
+	if err := json.Unmarshal(answer, &made); err != nil {
+		return err
+	}
+	booking := map[string]any{"slot": "harvest-2026-09-14T08:00", "bines": 40}
+	header := map[string]string{"Idempotency-Key": made.Key}
+	type end struct {
+		answer []byte
+		err    error
+	}
+	ends := make(chan end, 2)
+	for _, vm := range c.vms[:2] {
+		go func() {
+			_, answer, err := call(ctx, http.MethodPost, "http://"+vm.Address+"/v1/services/booking", teamKey, header, booking)
+			ends <- end{answer, err}
+		}()
+	}
+	for range 2 {
+		e := <-ends
+		fmt.Printf("  %s%v\n", bytes.TrimSpace(e.answer), errorText(e.err))
+	}
+	_, again, err := call(ctx, http.MethodPost, "http://"+c.vms[2].Address+"/v1/services/booking", teamKey, header, booking)
+	if err != nil {
+		return fmt.Errorf("ask again: %w", err)
+	}
+	fmt.Printf("asked again via %s: %s\n", c.vms[2].VM, bytes.TrimSpace(again))
+	return c.checkRuns(ctx, made.Key)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return " (" + err.Error() + ")"
+}
+
+// checkRuns fails unless the key ran exactly once over all servers.
+func (c *cluster) checkRuns(ctx context.Context, key string) error {
+	total := 0
+	for _, s := range c.standins.Services {
+		_, answer, err := call(ctx, http.MethodGet, "http://"+s.Listen+standin.PathRuns, "", nil, nil)
+		if err != nil {
+			return err
+		}
+		total += strings.Count(string(answer), key)
+	}
+	if total != 1 {
+		return fmt.Errorf("the booking ran %d times, want 1", total)
+	}
+	fmt.Println("the booking ran once")
+	return nil
+}
+
+// streamed is a streamed answer.
+type streamed struct {
+	text    string
+	request string
+	whole   bool
+}
+
+// stream sends a streamed request and calls onToken after each piece.
+func stream(ctx context.Context, address, prompt string, limit int, onToken func(n int)) (streamed, error) {
+	data, err := json.Marshal(chatBody(prompt, limit, true))
+	if err != nil {
+		return streamed{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(data))
+	if err != nil {
+		return streamed{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return streamed{}, err
+	}
+	defer resp.Body.Close()
+	out := streamed{request: resp.Header.Get("Cornelline-Request-Id")}
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(resp.Body)
+		return out, fmt.Errorf("%s: %s", resp.Status, body)
+	}
+	scanner := bufio.NewScanner(resp.Body)
+	for n := 0; scanner.Scan(); {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			out.whole = true
+		default:
+			var chunk struct {
+				Choices []struct{ Delta struct{ Content string } }
+				Error   json.RawMessage
+			}
+			if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+				return out, err
+			}
+			if chunk.Error != nil {
+				return out, fmt.Errorf("broken stream: %s", chunk.Error)
+			}
+			if len(chunk.Choices) == 1 && chunk.Choices[0].Delta.Content != "" {
+				out.text += chunk.Choices[0].Delta.Content
+				n++
+				onToken(n)
+			}
+		}
+	}
+	return out, scanner.Err()
+}
+
+// loseStage kills the engine that runs a stage of a generation after ten tokens.
+func loseStage(ctx context.Context, c *cluster) error {
+	const limit = 60
+	prompt := "A long description of the harvest festival"
+	killed := ""
+	began := time.Now()
+	got, err := stream(ctx, c.vms[0].Address, prompt, limit, func(n int) {
+		if n == 10 {
+			killed = c.crashBusyEngine(ctx)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if killed == "" {
+		return errors.New("no stage was running")
+	}
+	if want := expected(prompt, limit); !got.whole || got.text != want {
+		return fmt.Errorf("wrong answer (whole %t): %q, want %q", got.whole, got.text, want)
+	}
+	fmt.Printf("%s was killed after 10 tokens; the answer is whole and right after %d ms\n", killed, time.Since(began).Milliseconds())
+	_, answer, err := call(ctx, http.MethodGet, "http://"+c.vms[1].Address+"/v1/requests/"+got.request, teamKey, nil, nil)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("explained by %s:\n", c.vms[1].VM)
+	return printExplanation(answer)
+}
+
+func printExplanation(answer []byte) error {
+	var trace struct {
+		Steps []struct {
+			At       int64 `json:"at_ns"`
+			What     string
+			Upstream string
+			Detail   string
+		}
+	}
+	if err := json.Unmarshal(answer, &trace); err != nil {
+		return err
+	}
+	for _, s := range trace.Steps {
+		fmt.Printf("  %8.1f ms  %-12s %-10s %s\n", float64(s.At)/1e6, s.What, s.Upstream, s.Detail)
+	}
+	return nil
+}
+
+// crashBusyEngine crashes an engine that runs a generation and returns its name.
+func (c *cluster) crashBusyEngine(ctx context.Context) string {
+	_, answer, err := call(ctx, http.MethodGet, "http://"+c.vms[0].Address+"/v1/status", operatorKey, nil, nil)
+	if err != nil {
+		return ""
+	}
+	var status struct {
+		Upstreams []struct {
+			Upstream string
+			InFlight int `json:"in_flight_here"`
+		}
+	}
+	if err := json.Unmarshal(answer, &status); err != nil {
+		return ""
+	}
+	for _, u := range status.Upstreams {
+		if u.InFlight > 0 && strings.HasPrefix(u.Upstream, "engine-") {
+			_, _, err := call(ctx, http.MethodPost, "http://"+c.standins.Control+standin.PathFaults+"/"+u.Upstream, "", nil, standin.Faults{Crashed: true})
+			if err == nil {
+				return u.Upstream
+			}
+		}
+	}
+	return ""
+}
+
+// showCounters prints the refusals, retries and first-token times of all VMs.
+func showCounters(ctx context.Context, c *cluster) error {
+	for _, vm := range c.vms {
+		_, answer, err := call(ctx, http.MethodGet, "http://"+vm.Address+"/metrics", operatorKey, nil, nil)
+		if err != nil {
+			return err
+		}
+		lines := strings.Split(strings.TrimSpace(string(answer)), "\n")
+		sort.Strings(lines)
+		for _, line := range lines {
+			if strings.HasPrefix(line, "cornelline_done") || strings.HasPrefix(line, "cornelline_retried") ||
+				strings.HasPrefix(line, "cornelline_refused{") || strings.HasPrefix(line, "cornelline_first_token_ms{") {
+				fmt.Printf("  %s %s\n", vm.VM, line)
+			}
+		}
+	}
+	return nil
+}
+
+// drainUnderLoad stops a VM with a signal while it serves a stream and sends it
+// another request within the validity of its address.
+func drainUnderLoad(ctx context.Context, c *cluster) error {
+	const limit = 200
+	prompt := "Catalogue text for the last wreath of the season"
+	vm := c.vms[3]
+	late := make(chan error, 1)
+	got, err := stream(ctx, vm.Address, prompt, limit, func(n int) {
+		if n != 3 {
+			return
+		}
+		_ = c.process(3).Process.Signal(syscall.SIGTERM)
+		go func() {
+			time.Sleep(time.Second) // within the validity of 2 s
+			_, _, err := call(ctx, http.MethodPost, "http://"+vm.Address+"/v1/chat/completions", teamKey, nil, chatBody("late caller", 4, false))
+			late <- err
+		}()
+	})
+	if err != nil {
+		return err
+	}
+	if want := expected(prompt, limit); !got.whole || got.text != want {
+		return fmt.Errorf("the stop cut the stream (whole %t)", got.whole)
+	}
+	if err := <-late; err != nil {
+		return fmt.Errorf("a caller with a valid address was refused: %w", err)
+	}
+	if err := c.process(3).Wait(); err != nil {
+		return fmt.Errorf("%s ended badly: %w", vm.VM, err)
+	}
+	fmt.Printf("%s finished its stream and a late caller's request, then ended\n", vm.VM)
+	return nil
+}
