--- /dev/null
+++ b/pkg/quarantine/fingerprint.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+const (
+	// sketchSize is the number of minhash bins. With 32 bins the standard error
+	// of the estimated similarity is below 0.09.
+	sketchSize = 32
+	// shingleLen is the length in bytes of the overlapping pieces of a body.
+	shingleLen = 8
+	// similarAt is the estimated Jaccard similarity from which two bodies count as near-identical.
+	similarAt = 0.8
+)
+
+// Fingerprint identifies near-identical requests of one team to one model. The
+// body is normalised first: case, white space and runs of digits are folded.
+type Fingerprint struct {
+	Team  fleet.TeamID  `msgpack:"t"`
+	Model fleet.ModelID `msgpack:"m"`
+	// Exact is the hash of the normalised body.
+	Exact uint64 `msgpack:"x"`
+	// Sketch is a one-permutation minhash of the body's shingles; 0 marks an empty bin.
+	Sketch [sketchSize]uint32 `msgpack:"s"`
+}
+
+// Of returns the fingerprint of a request body.
+func Of(team fleet.TeamID, model fleet.ModelID, body []byte) Fingerprint {
+	text := normalise(body)
+	f := Fingerprint{Team: team, Model: model, Exact: xxhash.Sum64(text)}
+	for i := 0; i == 0 || i+shingleLen <= len(text); i++ {
+		h := xxhash.Sum64(text[i:min(i+shingleLen, len(text))])
+		bin, value := h%sketchSize, uint32(h>>32)|1
+		if f.Sketch[bin] == 0 || value < f.Sketch[bin] {
+			f.Sketch[bin] = value
+		}
+	}
+	return f
+}
+
+// Similar reports whether both stand for near-identical requests.
+func (f *Fingerprint) Similar(o *Fingerprint) bool {
+	if f.Team != o.Team || f.Model != o.Model {
+		return false
+	}
+	if f.Exact == o.Exact {
+		return true
+	}
+	equal, filled := 0, 0
+	for i, v := range f.Sketch {
+		if v == 0 && o.Sketch[i] == 0 {
+			continue
+		}
+		filled++
+		if v == o.Sketch[i] {
+			equal++
+		}
+	}
+	return filled > 0 && float64(equal) >= similarAt*float64(filled)
+}
+
+// normalise folds case, runs of white space and runs of digits.
+func normalise(body []byte) []byte {
+	text := make([]byte, 0, len(body))
+	last := byte(' ') // drops leading white space
+	for _, c := range body {
+		switch {
+		case c >= 'A' && c <= 'Z':
+			c += 'a' - 'A'
+		case c == ' ' || c == '\t' || c == '\n' || c == '\r':
+			c = ' '
+		case c >= '0' && c <= '9':
+			c = '0'
+		}
+		if c == last && (c == ' ' || c == '0') {
+			continue
+		}
+		text = append(text, c)
+		last = c
+	}
+	if n := len(text); n > 0 && text[n-1] == ' ' {
+		text = text[:n-1]
+	}
+	return slices.Clip(text)
+}
