--- a/pkg/entry/condition.go
+++ b/pkg/entry/condition.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
@@ -101,3 +102,11 @@
 		Leaving: c.leaving(), Ejected: ejected, Weight: weight, Load: c.load,
 	}
 }
+
+// plural returns a number with its noun.
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return strconv.Itoa(n) + " " + noun + "s"
+}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -13,6 +13,7 @@
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/outlier"
 	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/route"
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
@@ -117,6 +118,7 @@
 	c.act(c.detector.Tick(now, c.actions[:0]))
 	c.publish(now)
 	c.server.gate.tick()
+	c.server.suspects.tick(c.vmIDs())
 	c.setCapacities()
 }
 
@@ -189,6 +191,49 @@
 	})
 }
 
+// suspected books that a stage is blamed for a broken generation. Beside the
+// failure it is probed, so that a dead engine takes no new work within a second.
+func (c *control) suspected(id fleet.UpstreamID, cause error) {
+	c.post(func(now time.Time) {
+		condition, ok := c.conditions[id]
+		if !ok {
+			return
+		}
+		c.server.suspects.crashed(quarantine.CrashID{Upstream: id, Incarnation: condition.state.Incarnation})
+		out := c.actions[:0]
+		if classify(cause) != silent {
+			out = c.detector.Failed(now, id, out)
+		}
+		c.act(c.detector.Silent(now, id, out))
+		c.publish(now)
+	})
+}
+
+// measured books the time per token of a whole chain. It is apportioned to the
+// stages by their expected times.
+func (c *control) measured(chain []fleet.UpstreamID, perToken time.Duration) {
+	c.post(func(now time.Time) {
+		var expected time.Duration
+		for _, id := range chain {
+			if condition, ok := c.conditions[id]; ok {
+				expected += condition.stageTime()
+			}
+		}
+		if expected <= 0 {
+			return
+		}
+		out := c.actions[:0]
+		for _, id := range chain {
+			if condition, ok := c.conditions[id]; ok {
+				condition.measured(float64(perToken) / float64(expected))
+				out = c.detector.Succeeded(now, id, condition.stageTime(), out)
+			}
+		}
+		c.act(out)
+		c.dirty = true
+	})
+}
+
 // reported books an engine's state, or the failure to get it.
 func (c *control) reported(id fleet.UpstreamID, asked time.Time, state upstream.EngineState, err error) {
 	c.post(func(now time.Time) {
@@ -234,6 +279,25 @@
 	return n
 }
 
+// vmIDs returns the entry VMs known here, this one included.
+func (c *control) vmIDs() []fleet.VMID {
+	view := c.members.View()
+	ids := []fleet.VMID{c.server.cfg.VM}
+	for _, m := range view.Members {
+		ids = append(ids, m.ID)
+	}
+	for _, dc := range view.DataCentres {
+		if dc.DataCentre == c.server.cfg.DataCentre {
+			continue
+		}
+		for _, contact := range dc.Relays {
+			ids = append(ids, contact.ID)
+		}
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // configure applies a new directory: upstreams that come and go, and limits.
 func (c *control) configure(d *directory) {
 	c.post(func(now time.Time) {
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -10,6 +10,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/wire"
 )
 
@@ -24,6 +25,11 @@
 	s.control.post(func(now time.Time) { s.control.send(s.control.members.Receive(now, m)) })
 }
 
+// tellSuspicion sends a quarantine message to one VM or to all.
+func (s *Server) tellSuspicion(m quarantine.Message) {
+	_ = m
+}
+
 // respond answers a peer's request.
 func (s *Server) respond(_ context.Context, _ wire.Peer, m wire.Message) (wire.Message, error) {
 	request, ok := m.(*wire.Explain)
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -24,6 +24,7 @@
 	"github.com/cornelline/cornelline/pkg/explain"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/rehearsal"
 	"github.com/cornelline/cornelline/pkg/replica"
 	"github.com/cornelline/cornelline/pkg/result"
@@ -56,6 +57,8 @@
 	control  *control
 	gate     *gate
 	drain    *drainer
+	suspects *suspects
+	lengths  *lengths
 	current  atomic.Pointer[directory]
 
 	retryMu sync.Mutex
@@ -88,7 +91,9 @@
 		gate:     newGate(admission.DefaultConfig()),
 		retries:  retry.New(retry.DefaultConfig()),
 		drain:    newDrainer(),
+		lengths:  newLengths(),
 	}
+	s.suspects = newSuspects(quarantine.DefaultConfig(), cfg.VM, s.tellSuspicion)
 	s.client = &http.Client{Transport: &rehearsal.Transport{Base: newTransport(), Injector: s.injector}}
 	s.connectPlatform()
 	s.current.Store(newDirectory(settings.Empty(), s.self))
--- /dev/null
+++ b/pkg/entry/suspects.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/quarantine"
+	"github.com/cornelline/cornelline/pkg/result"
+)
+
+// suspects carries the decisions of the quarantine tracker to request goroutines
+// and its messages to the other VMs.
+type suspects struct {
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+	waiting map[fleet.RequestID]chan quarantine.Action
+	avoid   map[fleet.RequestID][]fleet.UpstreamID
+	send    func(quarantine.Message)
+}
+
+func newSuspects(cfg quarantine.Config, self fleet.VMID, send func(quarantine.Message)) *suspects {
+	return &suspects{
+		tracker: quarantine.New(cfg, self), send: send,
+		waiting: map[fleet.RequestID]chan quarantine.Action{},
+		avoid:   map[fleet.RequestID][]fleet.UpstreamID{},
+	}
+}
+
+// admit waits until the request may run. A request without suspicion passes at once.
+func (q *suspects) admit(ctx context.Context, g *generation) (*quarantine.Fingerprint, error) {
+	fingerprint := quarantine.Of(g.team, g.request.Model, []byte(g.request.Prompt()))
+	decided := make(chan quarantine.Action, 1)
+	q.step(func(now time.Time) []quarantine.Action {
+		q.waiting[g.id] = decided
+		return q.tracker.Admit(now, g.id, &fingerprint, nil)
+	})
+	select {
+	case a := <-decided:
+		if a.Kind == quarantine.Refuse {
+			return nil, result.New(a.Code, result.NotRun, "near-identical requests crashed the upstreams that ran them").WithRetryAfter(a.RetryAfter)
+		}
+		return &fingerprint, nil
+	case <-ctx.Done():
+		q.ended(g.id, false)
+		return nil, result.New(result.CancelledByCaller, result.NotRun, "the caller left while the request was held back")
+	}
+}
+
+// started books the chain on which a request runs.
+func (q *suspects) started(id fleet.RequestID, f *quarantine.Fingerprint, chain []fleet.UpstreamID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker.Started(time.Now(), id, f, append([]fleet.UpstreamID(nil), chain...))
+}
+
+// ended books the end of a request.
+func (q *suspects) ended(id fleet.RequestID, ok bool) {
+	q.step(func(now time.Time) []quarantine.Action {
+		delete(q.waiting, id)
+		delete(q.avoid, id)
+		return q.tracker.Ended(now, id, ok, nil)
+	})
+}
+
+// avoided returns the upstreams that run other suspects.
+func (q *suspects) avoided(id fleet.RequestID) []fleet.UpstreamID {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.avoid[id]
+}
+
+// crashed books that an upstream failed while it ran requests.
+func (q *suspects) crashed(id quarantine.CrashID) {
+	q.step(func(now time.Time) []quarantine.Action { return q.tracker.Crashed(now, id, nil) })
+}
+
+// received books a message of another VM.
+func (q *suspects) received(m quarantine.Message) {
+	q.step(func(now time.Time) []quarantine.Action { return q.tracker.Received(now, m, nil) })
+}
+
+func (q *suspects) tick(vms []fleet.VMID) {
+	q.step(func(now time.Time) []quarantine.Action {
+		q.tracker.SetVMs(now, vms)
+		return q.tracker.Tick(now, nil)
+	})
+}
+
+// step runs one event of the tracker and delivers the actions that follow.
+func (q *suspects) step(event func(time.Time) []quarantine.Action) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, a := range event(time.Now()) {
+		if a.Kind == quarantine.Send {
+			q.send(a.Message)
+			continue
+		}
+		if decided, ok := q.waiting[a.Request]; ok {
+			delete(q.waiting, a.Request)
+			q.avoid[a.Request] = a.Avoid
+			decided <- a // buffered: one action decides a request
+		}
+	}
+}
--- a/pkg/stats/stats.go
+++ b/pkg/stats/stats.go
@@ -62,6 +62,9 @@
 	s.observe("queued_ms", d, "rank", rank.String())
 }
 
+// Recovered records the time from the first symptom of a failure to the next token.
+func (s *Stats) Recovered(d time.Duration) { s.observe("recovery_ms", d, "part", "generation") }
+
 // Count adds one to a counter named by label pairs.
 func (s *Stats) Count(name string, labels ...string) { s.count(name, labels...) }
 
