--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,12 @@
 	$(GO) build ./...
 
 # check fails on unformatted files, on findings of vet and staticcheck, and when
-# a result code or log event is missing from its table in docs/.
+# a result code, log event or setting is missing from its table in docs/.
 check:
 	@unformatted=$$(gofmt -l cmd pkg); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
-	$(GO) test -run 'TestDocs' ./pkg/result ./pkg/event
+	$(GO) test -run 'TestDocs' ./pkg/result ./pkg/event ./pkg/settings
 
 fmt:
 	gofmt -w cmd pkg
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
 )
@@ -48,10 +49,26 @@
 			return err
 		}
 	}
+	for _, id := range t.Upstreams() {
+		if err := t.checkOverrides(k, id); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
-// scopesBelow returns the scopes of the places, upstreams included, that k can affect.
+// checkOverrides tests the rules for an upstream that sets its own ejection times.
+func (t *Tree) checkOverrides(k branchKey, id fleet.UpstreamID) *CheckError {
+	b := t.live(branchKey{LevelUpstream, string(id), ""})
+	_, first := b.vals["outlier.ejection"]
+	_, longest := b.vals["outlier.ejection_max"]
+	if !first && !longest {
+		return nil
+	}
+	return checkView(k, t.Effective(Scope{DataCentre: fleet.DataCentreID(b.text("data_centre")), Upstream: id}))
+}
+
+// scopesBelow returns the scopes of the places that k can affect.
 func (t *Tree) scopesBelow(k branchKey) []Scope {
 	scopes := []Scope{{}}
 	for dc, region := range t.index.regions {
@@ -62,20 +79,10 @@
 	if k.level != LevelFleet {
 		scopes = append(scopes, Scope{Region: fleet.RegionID(k.a)})
 	}
-	slices.SortFunc(scopes, func(a, b Scope) int { return compareText(string(a.DataCentre), string(b.DataCentre)) })
+	slices.SortFunc(scopes, func(a, b Scope) int { return strings.Compare(string(a.DataCentre), string(b.DataCentre)) })
 	return scopes
 }
 
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // checkView tests the rules between settings of one place.
 func checkView(k branchKey, v *View) *CheckError {
 	switch {
@@ -210,5 +217,5 @@
 	if memory, _ := b.vals["memory_bytes"].(int64); b.text("kind") == KindEngine && memory <= 0 {
 		return failed(k, "memory_bytes", "an engine needs a memory size")
 	}
-	return nil
+	return t.checkOverrides(k, fleet.UpstreamID(k.a))
 }
