--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -36,6 +36,17 @@
 	ClaimUnknown     ID = 407
 )
 
+// Placement events.
+const (
+	PlacementLeaseTaken  ID = 601
+	PlacementLeaseLost   ID = 602
+	PlacementPlanned     ID = 603
+	PlacementReissued    ID = 604
+	PlacementOrderFailed ID = 605
+	PlacementEngineLost  ID = 606
+	PlacementBlocked     ID = 607
+)
+
 var definitions = map[ID]definition{
 	Started:      {"started", zerolog.InfoLevel},
 	Stopped:      {"stopped", zerolog.InfoLevel},
@@ -58,4 +69,12 @@
 	SnapshotWritten:  {"snapshot_written", zerolog.InfoLevel},
 	SnapshotMismatch: {"snapshot_mismatch", zerolog.ErrorLevel},
 	ClaimUnknown:     {"claim_outcome_unknown", zerolog.WarnLevel},
+
+	PlacementLeaseTaken:  {"placement_lease_taken", zerolog.InfoLevel},
+	PlacementLeaseLost:   {"placement_lease_lost", zerolog.WarnLevel},
+	PlacementPlanned:     {"placement_planned", zerolog.InfoLevel},
+	PlacementReissued:    {"placement_order_reissued", zerolog.WarnLevel},
+	PlacementOrderFailed: {"placement_order_failed", zerolog.WarnLevel},
+	PlacementEngineLost:  {"placement_engine_lost", zerolog.WarnLevel},
+	PlacementBlocked:     {"placement_blocked", zerolog.ErrorLevel},
 }
--- a/pkg/placement/search.go
+++ b/pkg/placement/search.go
@@ -40,6 +40,10 @@
 	rate       [][]float64
 	holders    []int
 	spare      bool
+	// origin is the span that each unit holds already; a unit elsewhere adds
+	// moving for each layer that it loads. Empty origins cost nothing.
+	origin [][2]int
+	moving float64
 }
 
 func newArrangement(units []unit, boundaries []int, target []float64, spare bool) *arrangement {
@@ -103,7 +107,8 @@
 
 // put changes a unit's span and returns the change of cost.
 func (a *arrangement) put(i, first, end int) float64 {
-	change := a.apply(i, a.first[i], a.end[i], -1)
+	change := a.moveCost(i, first, end) - a.moveCost(i, a.first[i], a.end[i])
+	change += a.apply(i, a.first[i], a.end[i], -1)
 	a.first[i], a.end[i] = first, end
 	return change + a.apply(i, first, end, 1)
 }
@@ -121,9 +126,24 @@
 	return change
 }
 
+// moveCost returns the cost of the loads for a unit's span.
+func (a *arrangement) moveCost(i, first, end int) float64 {
+	if a.origin == nil || first >= end {
+		return 0
+	}
+	o := a.origin[i]
+	if o[0] >= o[1] || (o[0] == first && o[1] == end) {
+		return 0
+	}
+	return a.moving * float64(a.layers(first, end))
+}
+
 // cost returns the whole cost, from scratch.
 func (a *arrangement) cost() float64 {
 	total := 0.0
+	for i := range a.units {
+		total += a.moveCost(i, a.first[i], a.end[i])
+	}
 	for s := range a.segments() {
 		total += a.thinCost(s, a.holders[s])
 		for z := range a.target {
@@ -175,7 +195,7 @@
 		var change float64
 		var undo func()
 		switch {
-		case n%shiftEvery == 0 && a.segments() > 1:
+		case a.origin == nil && n%shiftEvery == 0 && a.segments() > 1:
 			change, undo = a.shift(rng, cost)
 		case n%3 == 0:
 			change, undo = a.swap(rng)
