--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -37,6 +37,17 @@
 	ClaimUnknown     ID = 407
 )
 
+// Placement events.
+const (
+	PlacementLeaseTaken  ID = 601
+	PlacementLeaseLost   ID = 602
+	PlacementPlanned     ID = 603
+	PlacementReissued    ID = 604
+	PlacementOrderFailed ID = 605
+	PlacementEngineLost  ID = 606
+	PlacementBlocked     ID = 607
+)
+
 var definitions = map[ID]definition{
 	Started:          {"started", zerolog.InfoLevel},
 	Stopped:          {"stopped", zerolog.InfoLevel},
@@ -66,6 +77,13 @@
 	UpstreamEjected:  {"upstream_ejected", zerolog.WarnLevel},
 	UpstreamReturned: {"upstream_returned", zerolog.InfoLevel},
 
-	RehearsalStarted: {"rehearsal_started", zerolog.WarnLevel},
-	RehearsalEnded:   {"rehearsal_ended", zerolog.InfoLevel},
+	RehearsalStarted:     {"rehearsal_started", zerolog.WarnLevel},
+	RehearsalEnded:       {"rehearsal_ended", zerolog.InfoLevel},
+	PlacementLeaseTaken:  {"placement_lease_taken", zerolog.InfoLevel},
+	PlacementLeaseLost:   {"placement_lease_lost", zerolog.WarnLevel},
+	PlacementPlanned:     {"placement_planned", zerolog.InfoLevel},
+	PlacementReissued:    {"placement_order_reissued", zerolog.WarnLevel},
+	PlacementOrderFailed: {"placement_order_failed", zerolog.WarnLevel},
+	PlacementEngineLost:  {"placement_engine_lost", zerolog.WarnLevel},
+	PlacementBlocked:     {"placement_blocked", zerolog.ErrorLevel},
 }
