Run the placement owner and tell suspicions to the other VMs

Cause: engines must get their orders from the lease holder, and a suspicion must be known wherever the caller may come back. Change: placer on the control goroutine, quarantine messages on the inner protocol.

--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -119,7 +119,7 @@
 		}
 		tree["upstream/"+e.ID] = map[string]any{
 			"kind": "engine", "address": e.Listen, "data_centre": c.specs[i].dc, "speed": speed,
-			"memory_bytes": 1 << 30, "slots": e.Slots, "fencing": "enforced",
+			"memory_bytes": 8 << 30, "slots": e.Slots, "fencing": "enforced",
 		}
 	}
 	for _, s := range c.standins.Services {
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -127,7 +127,7 @@
 
 // drive runs the pipeline.
 func (g *generation) drive(ctx context.Context) (pipeline.Result, error) {
-	driver := pipeline.Driver{Budget: g.planner, Observer: g.planner}
+	driver := pipeline.NewDriver(pipeline.Limits{}, g.planner, g.planner)
 	return driver.Run(ctx, pipeline.Request{
 		Session: string(g.id), Model: g.request.Model, Version: g.view.Model.Version, Adapter: g.request.Adapter,
 		Layers: int(g.view.Model.Layers), Prompt: g.prompt, MaxTokens: g.limit, Rank: g.rank,
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -12,6 +12,7 @@
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/outlier"
+	"github.com/cornelline/cornelline/pkg/placement"
 	"github.com/cornelline/cornelline/pkg/platform"
 	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/route"
@@ -67,12 +68,13 @@
 	conditions map[fleet.UpstreamID]*condition
 	detector   *outlier.Detector
 	members    *membership.Machine
+	placer     *placer
 	actions    []outlier.Action
 	dirty      bool
 	done       chan struct{}
 }
 
-func newControl(s *Server, now time.Time) *control {
+func newControl(ctx context.Context, s *Server, now time.Time) *control {
 	c := &control{
 		server:     s,
 		events:     make(chan func(time.Time), controlQueue),
@@ -83,6 +85,7 @@
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), hashOf(string(s.cfg.VM))))
 	c.members = membership.New(membership.Config{Self: s.self, Incarnation: uint64(now.UnixMilli()), Seeds: s.cfg.Seeds}, now, random)
 	c.publish(now)
+	c.placer = newPlacer(ctx, c, now)
 	return c
 }
 
@@ -116,6 +119,7 @@
 func (c *control) tick(now time.Time) {
 	c.send(c.members.Tick(now))
 	c.act(c.detector.Tick(now, c.actions[:0]))
+	c.placer.handle(now, placement.Tick{})
 	c.publish(now)
 	c.server.gate.tick()
 	c.server.suspects.tick(c.vmIDs())
@@ -316,6 +320,7 @@
 			c.conditions[id] = c.server.newCondition(id, view)
 		}
 		c.detector.SetConfig(outlierConfig(d.local))
+		c.placer.configure(now, d)
 		c.dirty = true
 		c.publish(now)
 	})
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -20,14 +20,22 @@
 // errUnknownMessage is returned to a peer for a request that this VM does not know.
 var errUnknownMessage = errors.New("unknown message")
 
-// receive hands a peer's message to the control goroutine.
+// receive hands a peer's message to the state machine that it is for.
 func (s *Server) receive(_ wire.Peer, m wire.Message) {
+	if suspicion, ok := m.(*quarantine.Message); ok {
+		s.suspects.received(*suspicion)
+		return
+	}
 	s.control.post(func(now time.Time) { s.control.send(s.control.members.Receive(now, m)) })
 }
 
 // tellSuspicion sends a quarantine message to one VM or to all.
 func (s *Server) tellSuspicion(m quarantine.Message) {
-	_ = m
+	for id, address := range s.peerAddresses() {
+		if m.To == "" || m.To == id {
+			_ = s.peers.Send(address, &m) // wants are repeated, suspicions also spread by later crashes
+		}
+	}
 }
 
 // respond answers a peer's request.
@@ -83,21 +91,22 @@
 }
 
 // peerAddresses returns the inner addresses of the members known here.
-func (s *Server) peerAddresses() []string {
+func (s *Server) peerAddresses() map[fleet.VMID]string {
 	view := s.fleetView().members
-	var list []string
+	addresses := map[fleet.VMID]string{}
 	for _, m := range view.Members {
-		list = append(list, m.PeerAddress)
+		addresses[m.ID] = m.PeerAddress
 	}
 	for _, dc := range view.DataCentres {
 		if dc.DataCentre == s.cfg.DataCentre {
 			continue
 		}
 		for _, c := range append(dc.Relays, dc.Sample...) {
-			list = append(list, c.PeerAddress)
+			addresses[c.ID] = c.PeerAddress
 		}
 	}
-	return list
+	delete(addresses, s.cfg.VM)
+	return addresses
 }
 
 // settingsHistory answers GET /v1/settings-history.
--- /dev/null
+++ b/pkg/entry/placer.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/placement"
+	"github.com/cornelline/cornelline/pkg/replica"
+	"github.com/cornelline/cornelline/pkg/settings"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// placementContext is the number of tokens of KV cache that placement reserves
+// for each batch slot. Engines move less-used caches out beyond it.
+const placementContext = 1024
+
+// adapterBytes is the assumed size of an adapter: about 1% of a 70 GB model's
+// weights for each of a few dozen adapters.
+const adapterBytes = 64 << 20
+
+// placer runs the placement owner on the control goroutine. Every VM runs one;
+// the lease on the log decides which of them gives orders.
+type placer struct {
+	control  *control
+	owner    *placement.Owner
+	executor *placement.Executor
+	ctx      context.Context
+	resource string
+}
+
+// newPlacer returns a placer whose calls end with ctx.
+func newPlacer(ctx context.Context, c *control, now time.Time) *placer {
+	s := c.server
+	cfg := placement.DefaultOwnerConfig(s.cfg.VM)
+	cfg.TakeoverDelay = time.Duration(hashOf(string(s.cfg.VM)) % uint64(cfg.LeasePeriod/2))
+	p := &placer{control: c, owner: placement.NewOwner(cfg, now), ctx: ctx, resource: cfg.Resource}
+	p.executor = &placement.Executor{
+		Engine:  func(id fleet.UpstreamID) upstream.Engine { return s.fleetView().engines[id] },
+		Append:  s.settings.Append,
+		Store:   s.weights,
+		Replan:  placement.NewPlanner().Replan,
+		Now:     time.Now,
+		Deliver: p.deliver,
+		Note:    p.note,
+		Timeout: cfg.OrderTimeout,
+	}
+	return p
+}
+
+// deliver hands an event to the owner. Results of calls must not be lost, so it
+// waits for a place in the control goroutine's queue.
+func (p *placer) deliver(e placement.Event) {
+	select {
+	case p.control.events <- func(now time.Time) { p.handle(now, e) }:
+	case <-p.ctx.Done():
+	}
+}
+
+// handle runs on the control goroutine.
+func (p *placer) handle(now time.Time, e placement.Event) {
+	p.executor.Run(p.ctx, p.owner.Handle(now, e))
+}
+
+func (p *placer) note(n placement.Note) {
+	p.control.server.stats.Count("placement", "event", n.Event.Name())
+	p.control.server.log.Log(n.Event).Str("upstream", string(n.Upstream)).Uint64("epoch", n.Epoch).Str("reason", n.Text).Send()
+}
+
+// leaseRead hands a valid lease record to the owner.
+func (p *placer) leaseRead(a replica.LeasesAction) {
+	if a.Lease.Resource != p.resource {
+		return
+	}
+	p.control.post(func(now time.Time) {
+		p.handle(now, placement.LeaseRead{ID: a.Verdict.ID, Holder: a.Lease.Holder, Epoch: a.Verdict.Epoch})
+	})
+}
+
+// leasesRestored tells the owner of the epoch in a state that came from a
+// snapshot, whose lease records this VM has not read.
+func (p *placer) leasesRestored(view *replica.View) {
+	entry := view.Leases.Get(p.resource)
+	if entry.Epoch == 0 {
+		return
+	}
+	p.control.post(func(now time.Time) {
+		if entry.Epoch > p.owner.Epoch() {
+			p.handle(now, placement.LeaseRead{Holder: entry.Holder, Epoch: entry.Epoch})
+		}
+	})
+}
+
+// configure tells the owner of changed hardware and models.
+func (p *placer) configure(now time.Time, d *directory) {
+	p.handle(now, placement.InputChanged{Input: placementInput(d)})
+}
+
+// placementInput returns the hardware and the models of the settings.
+func placementInput(d *directory) placement.Input {
+	var in placement.Input
+	for _, id := range d.engines {
+		in.Engines = append(in.Engines, placementEngine(id, d.upstreams[id]))
+	}
+	for _, id := range d.models {
+		view, _ := d.model(id)
+		in.Models = append(in.Models, placementModel(id, view, 1/float64(len(d.models))))
+	}
+	in.Links = placementLinks(d)
+	return in
+}
+
+func placementEngine(id fleet.UpstreamID, view *settings.View) placement.Engine {
+	u := view.Upstream
+	return placement.Engine{
+		ID: id, Kind: u.Accelerator, DataCentre: fleet.DataCentreID(u.DataCentre),
+		Memory: float64(u.MemoryBytes) * (1 - view.Placement.KVReserve),
+		Speed:  float64(u.Slots) * u.Speed / referenceLayerTime.Seconds(),
+		Slots:  int(u.Slots), Fencing: placement.Fencing(u.Fencing),
+	}
+}
+
+func placementModel(id fleet.ModelID, view *settings.View, demand float64) placement.Model {
+	m := placement.Model{
+		ID: id, Version: view.Model.Version, Layers: int(view.Model.Layers),
+		BytesPerLayer: float64(view.Model.BytesPerLayer), KVBytesPerToken: float64(view.Model.KVBytesPerTokenLayer),
+		ContextTokens: placementContext, Demand: demand,
+	}
+	for _, name := range view.Model.Adapters {
+		m.Adapters = append(m.Adapters, placement.Adapter{Name: name, Bytes: adapterBytes, Demand: 1 / float64(len(view.Model.Adapters))})
+	}
+	return m
+}
+
+// placementLinks returns the rates between data centres, the lower of both directions.
+func placementLinks(d *directory) []placement.Link {
+	rates := map[[2]fleet.DataCentreID]float64{}
+	for dc, region := range d.tree.DataCentres() {
+		scope := d.scope
+		scope.Region, scope.DataCentre = region, dc
+		for to, link := range d.tree.Effective(scope).Links {
+			key := [2]fleet.DataCentreID{min(dc, to), max(dc, to)}
+			rate := float64(link.BytesPerSecond)
+			if known, ok := rates[key]; ok {
+				rate = min(rate, known)
+			}
+			rates[key] = rate
+		}
+	}
+	var links []placement.Link
+	for key, rate := range rates {
+		links = append(links, placement.Link{A: key[0], B: key[1], BytesPerSecond: rate})
+	}
+	return links
+}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -64,8 +64,10 @@
 	retryMu sync.Mutex
 	retries *retry.Budget
 
-	http     *khttp.Server
-	app      *kratos.App
+	http *khttp.Server
+	app  *kratos.App
+	// running ends when the server has stopped.
+	running  context.Context
 	cancel   context.CancelFunc
 	watchers sync.WaitGroup
 }
@@ -97,7 +99,9 @@
 	s.client = &http.Client{Transport: &rehearsal.Transport{Base: newTransport(), Injector: s.injector}}
 	s.connectPlatform()
 	s.current.Store(newDirectory(settings.Empty(), s.self))
-	s.control = newControl(s, time.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	s.running, s.cancel = ctx, cancel
+	s.control = newControl(ctx, s, time.Now())
 	s.peers = wire.New(peers, wire.Config{
 		VM: cfg.VM, Address: cfg.PeerAddress, Secret: []byte(cfg.FleetSecret), Receive: s.receive, Respond: s.respond,
 	})
@@ -107,10 +111,8 @@
 
 // Run serves until ctx ends or a stop is asked for, then drains and stops.
 func (s *Server) Run(ctx context.Context) error {
-	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s.cancel = cancel
-	defer cancel()
-	s.start(running)
+	defer s.cancel()
+	s.start(s.running)
 	s.app = kratos.New(
 		kratos.ID(string(s.cfg.VM)), kratos.Name("cornelline"), kratos.Version(Version),
 		kratos.Context(ctx), kratos.Server(s.http), kratos.Logger(kratosLogger{s.log}),
@@ -120,7 +122,7 @@
 	s.log.Log(event.Started).Str("address", s.cfg.Address).Str("version", Version).Send()
 	err := s.app.Run()
 	s.leave()
-	cancel()
+	s.cancel()
 	s.watchers.Wait()
 	s.log.Log(event.Stopped).AnErr("reason", err).Send()
 	return err
@@ -135,6 +137,7 @@
 		default: // a signal is pending; the watcher reads the latest view
 		}
 	})
+	s.settings.OnLease(s.control.placer.leaseRead)
 	s.watchers.Go(func() { s.watchSettings(ctx, changed) })
 	s.watchers.Go(func() { s.control.run(ctx) })
 	s.watchers.Go(func() { s.settings.Run(ctx) })
@@ -151,7 +154,9 @@
 			return
 		case <-changed:
 		}
-		tree := s.settings.View().Tree
+		view := s.settings.View()
+		s.control.placer.leasesRestored(view)
+		tree := view.Tree
 		if tree == s.directory().tree {
 			continue
 		}
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/spread"
 )
 
@@ -36,6 +37,7 @@
 	KindNotices
 	KindExplain
 	KindExplanation
+	KindQuarantine
 )
 
 // Message is one of the typed messages below, as a pointer.
@@ -68,6 +70,7 @@
 	KindNotices:      reflect.TypeFor[spread.Notices](),
 	KindExplain:      reflect.TypeFor[Explain](),
 	KindExplanation:  reflect.TypeFor[Explanation](),
+	KindQuarantine:   reflect.TypeFor[quarantine.Message](),
 }
 
 var messageKinds = invert(messageTypes)
