--- /dev/null
+++ b/pkg/pipeline/driver.go
@@ -0,0 +1,214 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// releaseLimit bounds the background calls that free a session on its stages.
+const releaseLimit = 2 * time.Second
+
+// Driver runs sessions. It is safe for concurrent use.
+type Driver struct {
+	limits   Limits
+	budget   Budget
+	observer Observer
+	releases sync.WaitGroup
+}
+
+// NewDriver returns a driver. A nil budget allows every retry; a nil observer sees nothing.
+func NewDriver(limits Limits, budget Budget, observer Observer) *Driver {
+	return &Driver{limits: limits.withDefaults(), budget: budget, observer: observer}
+}
+
+// Run drives one generation to its final event, or returns a *result.Error as
+// soon as it gives up. The end of ctx ends the session at once.
+func (d *Driver) Run(ctx context.Context, request Request, planner Planner, sink Sink) (Result, error) {
+	r := &run{driver: d, ctx: ctx, session: NewSession(request, d.limits), planner: planner, sink: sink}
+	defer r.closeStream()
+	var event Event = Begin{}
+	for {
+		event = r.step(event)
+		if r.finished == nil {
+			continue
+		}
+		if r.finished.Err != nil {
+			return r.finished.Result, r.finished.Err
+		}
+		return r.finished.Result, nil
+	}
+}
+
+// Wait waits for the background calls that free sessions.
+func (d *Driver) Wait() { d.releases.Wait() }
+
+// run is one session in execution.
+type run struct {
+	driver   *Driver
+	ctx      context.Context
+	session  *Session
+	planner  Planner
+	sink     Sink
+	stream   upstream.TokenStream
+	finished *Finish
+}
+
+// step applies the event, executes the actions and returns the next event.
+func (r *run) step(event Event) Event {
+	var next Event
+	for _, action := range r.session.Step(time.Now(), event) {
+		if e := r.execute(action); e != nil {
+			next = e
+		}
+	}
+	if r.finished != nil {
+		return nil
+	}
+	if err := r.ctx.Err(); err != nil {
+		return Abandoned{Err: abandonment(r.ctx)}
+	}
+	if next == nil {
+		next = r.receive()
+	}
+	return next
+}
+
+// abandonment returns the error of a context that ended.
+func abandonment(ctx context.Context) *result.Error {
+	cause := context.Cause(ctx)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.New(result.DeadlineExceeded, result.OutcomeUnknown, "the deadline passed").WithCause(cause)
+	}
+	return result.New(result.CancelledByCaller, result.OutcomeUnknown, "the caller left").WithCause(cause)
+}
+
+// execute performs one action. It returns the event that answers it, if any.
+func (r *run) execute(action Action) Event {
+	switch a := action.(type) {
+	case AskPlan:
+		chain, err := r.planner.Plan(r.ctx, a.Need)
+		return Planned{Chain: chain, Err: err}
+	case Import:
+		return Imported{Errs: r.transfer(a.Transfers)}
+	case Open:
+		return r.open(a)
+	case CloseStream:
+		r.closeStream()
+	case Probe:
+		return Probed{Reports: r.probe(a.Stages)}
+	case AskRetry:
+		return RetryAnswered{Allowed: r.driver.budget == nil || r.driver.budget.AllowRetry(a.Blamed)}
+	case Deliver:
+		if err := r.sink.Token(a.Token); err != nil {
+			return Abandoned{Err: result.New(result.CancelledByCaller, result.Ran, "the caller left").WithCause(err)}
+		}
+	case Notify:
+		if r.driver.observer != nil {
+			r.driver.observer.Observe(a.Observation)
+		}
+	case Release:
+		r.release(a)
+	case Finish:
+		r.finished = &a
+	}
+	return nil
+}
+
+// open opens the attempt's stream; a failure is the next event.
+func (r *run) open(a Open) Event {
+	stream, err := a.Head.Engine.Generate(r.ctx, a.Request)
+	if err != nil {
+		return r.broken(err)
+	}
+	r.stream = stream
+	return nil
+}
+
+// closeStream closes the open stream, which cancels the attempt at the head.
+func (r *run) closeStream() {
+	if r.stream != nil {
+		_ = r.stream.Close()
+		r.stream = nil
+	}
+}
+
+// receive waits for the next event of the stream.
+func (r *run) receive() Event {
+	ctx, cancel := context.WithTimeout(r.ctx, r.driver.limits.Token)
+	defer cancel()
+	event, err := r.stream.Next(ctx)
+	if err == nil {
+		return Received{Event: event}
+	}
+	if ctx.Err() != nil && r.ctx.Err() == nil {
+		return Broken{Err: ErrTokenLimit, SilentFor: r.driver.limits.Token}
+	}
+	return r.broken(err)
+}
+
+// broken returns the event for a stream error. The end of the caller's context is no fault of the stream.
+func (r *run) broken(err error) Event {
+	if r.ctx.Err() != nil {
+		return Abandoned{Err: abandonment(r.ctx)}
+	}
+	var silent *upstream.SilentError
+	if errors.As(err, &silent) {
+		return Broken{Err: err, SilentFor: silent.For}
+	}
+	return Broken{Err: err}
+}
+
+// probe asks all stages at once for their progress.
+func (r *run) probe(stages []Stage) []Report {
+	ctx, cancel := context.WithTimeout(r.ctx, r.driver.limits.Probe)
+	defer cancel()
+	reports := make([]Report, len(stages))
+	parallel(len(stages), func(i int) {
+		progress, err := stages[i].Engine.Progress(ctx, r.session.request.Session)
+		reports[i] = Report{Upstream: stages[i].Ref.Upstream, Progress: progress, Err: err}
+	})
+	return reports
+}
+
+// transfer moves the KV caches at once.
+func (r *run) transfer(transfers []Transfer) []error {
+	ctx, cancel := context.WithTimeout(r.ctx, r.driver.limits.Import)
+	defer cancel()
+	errs := make([]error, len(transfers))
+	parallel(len(transfers), func(i int) {
+		t := transfers[i]
+		cache, err := t.From.Engine.ExportKV(ctx, r.session.request.Session, t.Positions)
+		if err == nil {
+			err = t.To.Engine.ImportKV(ctx, cache)
+		}
+		errs[i] = err
+	})
+	return errs
+}
+
+// release frees the session on the stages in the background.
+func (r *run) release(a Release) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), releaseLimit)
+	session := r.session.request.Session
+	r.driver.releases.Go(func() {
+		defer cancel()
+		parallel(len(a.Stages), func(i int) {
+			// A stage that can't be reached forgets the session after its idle limit.
+			_ = a.Stages[i].Engine.Cancel(ctx, session, a.Attempt)
+		})
+	})
+}
+
+// parallel runs the calls at once and waits for all.
+func parallel(n int, call func(i int)) {
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() { call(i) })
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/pkg/pipeline/recovery.go
@@ -0,0 +1,106 @@
+package pipeline
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// recovery is how an attempt gets its KV cache.
+type recovery struct {
+	// start is the first position to run; every stage holds the earlier ones
+	// after the transfers. 0 means a rebuild.
+	start     int
+	transfers []Transfer
+	cost      time.Duration
+}
+
+// moved returns the number of KV positions that the transfers move.
+func (r recovery) moved() int {
+	moved := 0
+	for _, t := range r.transfers {
+		moved += t.Positions
+	}
+	return moved
+}
+
+// choose returns the cheapest way to bring all stages of the chain to the target
+// position: each start position that some stage's KV cache allows is priced as
+// the slowest transfer plus the prefill of the rest. Of equal ones the latest
+// start wins, because it runs the least.
+func choose(chain []Stage, touched []*touchedStage, target int) recovery {
+	starts := []int{0}
+	for _, t := range touched {
+		if t.positions > 0 {
+			starts = append(starts, min(t.positions, target))
+		}
+	}
+	slices.Sort(starts)
+	var best recovery
+	for i, start := range slices.Compact(starts) {
+		option, possible := price(chain, touched, start, target)
+		if i == 0 || possible && option.cost <= best.cost {
+			best = option
+		}
+	}
+	return best
+}
+
+// price returns the recovery with the given start, if the KV caches allow it.
+func price(chain []Stage, touched []*touchedStage, start, target int) (recovery, bool) {
+	r := recovery{start: start}
+	var prefill, transfer time.Duration
+	for _, stage := range chain {
+		prefill += stage.PrefillPerPosition
+		own := find(touched, stage.Ref)
+		if start == 0 || own != nil && own.positions >= start {
+			continue
+		}
+		source := exporter(touched, stage.Ref.Layers, start)
+		if source == nil || own != nil && own.noExport {
+			return r, false
+		}
+		r.transfers = append(r.transfers, Transfer{From: source.stage, To: stage, Positions: start})
+		transfer = max(transfer, time.Duration(start)*stage.TransferPerPosition)
+	}
+	r.cost = transfer + time.Duration(target+1-start)*prefill
+	return r, true
+}
+
+// find returns the record of the stage, nil if none has been reached.
+func find(touched []*touchedStage, ref upstream.StageRef) *touchedStage {
+	i := slices.IndexFunc(touched, func(t *touchedStage) bool {
+		return t.stage.Ref.Upstream == ref.Upstream && t.stage.Ref.Layers == ref.Layers
+	})
+	if i < 0 {
+		return nil
+	}
+	return touched[i]
+}
+
+// exporter returns a stage that can export the positions of a layer range.
+func exporter(touched []*touchedStage, layers fleet.LayerRange, positions int) *touchedStage {
+	for _, t := range touched {
+		if t.stage.Ref.Layers == layers && t.positions >= positions && !t.noExport {
+			return t
+		}
+	}
+	return nil
+}
+
+// holders lists the stages that hold KV cache.
+func (s *Session) holders() []Holder {
+	var holders []Holder
+	for _, t := range s.touched {
+		if t.positions > 0 {
+			holders = append(holders, Holder{
+				Ref:       t.stage.Ref,
+				Positions: t.positions,
+				Excluded:  slices.Contains(s.excluded, t.stage.Ref.Upstream),
+			})
+		}
+	}
+	return holders
+}
--- /dev/null
+++ b/pkg/pipeline/session.go
@@ -0,0 +1,532 @@
+package pipeline
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// Event is something that happened to a session.
+type Event interface{ isEvent() }
+
+// The events of a session.
+type (
+	// Begin starts the session.
+	Begin struct{}
+	// Planned answers AskPlan with a chain or an error.
+	Planned struct {
+		Chain []Stage
+		Err   error
+	}
+	// Imported answers Import with one error for each transfer, nil when it succeeded.
+	Imported struct{ Errs []error }
+	// Received is an event of the open stream.
+	Received struct{ Event upstream.TokenEvent }
+	// Broken states that the stream could not be opened or broke.
+	Broken struct {
+		Err error
+		// SilentFor is how long the stream was without a sign before that.
+		SilentFor time.Duration
+	}
+	// Probed answers Probe with one report for each stage.
+	Probed struct{ Reports []Report }
+	// RetryAnswered answers AskRetry.
+	RetryAnswered struct{ Allowed bool }
+	// Abandoned states that the caller left or the deadline passed.
+	Abandoned struct{ Err *result.Error }
+)
+
+func (Begin) isEvent()         {}
+func (Planned) isEvent()       {}
+func (Imported) isEvent()      {}
+func (Received) isEvent()      {}
+func (Broken) isEvent()        {}
+func (Probed) isEvent()        {}
+func (RetryAnswered) isEvent() {}
+func (Abandoned) isEvent()     {}
+
+// Report is what a probe of a stage gave.
+type Report struct {
+	Upstream fleet.UpstreamID
+	Progress upstream.SessionProgress
+	Err      error
+}
+
+// Action is something that the executor must do, in the given order.
+type Action interface{ isAction() }
+
+// The actions of a session.
+type (
+	// AskPlan asks the planner for a chain.
+	AskPlan struct{ Need Need }
+	// Import moves KV caches between engines.
+	Import struct{ Transfers []Transfer }
+	// Open opens the attempt's stream on the head.
+	Open struct {
+		Head    Stage
+		Request upstream.GenerateRequest
+	}
+	// CloseStream closes the open stream.
+	CloseStream struct{}
+	// Probe asks stages for their progress over new connections.
+	Probe struct{ Stages []Stage }
+	// AskRetry asks the retry budget.
+	AskRetry struct{ Blamed []fleet.UpstreamID }
+	// Deliver hands a token to the sink.
+	Deliver struct{ Token fleet.Token }
+	// Notify hands an observation to the observer.
+	Notify struct{ Observation Observation }
+	// Release frees the session on stages, in the background.
+	Release struct {
+		Stages  []Stage
+		Attempt int
+	}
+	// Finish ends the session. Err is nil after a final event.
+	Finish struct {
+		Result Result
+		Err    *result.Error
+	}
+)
+
+func (AskPlan) isAction()     {}
+func (Import) isAction()      {}
+func (Open) isAction()        {}
+func (CloseStream) isAction() {}
+func (Probe) isAction()       {}
+func (AskRetry) isAction()    {}
+func (Deliver) isAction()     {}
+func (Notify) isAction()      {}
+func (Release) isAction()     {}
+func (Finish) isAction()      {}
+
+// Transfer moves the first positions of a session's KV cache.
+type Transfer struct {
+	From, To  Stage
+	Positions int
+}
+
+// phase is what a session waits for.
+type phase uint8
+
+const (
+	idle phase = iota
+	planning
+	importing
+	streaming
+	probing
+	asking
+	ended
+)
+
+// touchedStage is a stage that an attempt may have reached.
+type touchedStage struct {
+	stage Stage
+	// positions is what the stage last reported; -1 when it is unknown.
+	positions int
+	// lost is set when the stage did not answer a probe.
+	lost bool
+	// noExport is set when a transfer from or to the stage failed.
+	noExport bool
+}
+
+// Session is the state machine of one generation. It is used by one goroutine.
+type Session struct {
+	request Request
+	limits  Limits
+	phase   phase
+	now     time.Time
+	actions []Action
+
+	attempt  int
+	accepted []fleet.Token
+	chain    []Stage
+	plan     recovery
+	touched  []*touchedStage
+	excluded []fleet.UpstreamID
+
+	// sent is set once an attempt may have run somewhere.
+	sent bool
+	// furthest is the highest number of positions that a stage is known to have run.
+	furthest int
+	// symptom is the time of the first symptom since the last accepted token.
+	symptom time.Time
+	// failure is why the current attempt failed.
+	failure error
+	// unexplained counts failures that the reports did not explain.
+	unexplained int
+	// acceptedBefore is the number of tokens accepted when the attempt began.
+	acceptedBefore int
+}
+
+// NewSession returns a session that has not begun.
+func NewSession(request Request, limits Limits) *Session {
+	return &Session{request: request, limits: limits.withDefaults()}
+}
+
+// Accepted returns the number of tokens delivered.
+func (s *Session) Accepted() int { return len(s.accepted) }
+
+// Step applies an event and returns what must be done. Events that do not fit
+// the phase are ignored.
+func (s *Session) Step(now time.Time, event Event) []Action {
+	s.now = now
+	s.actions = nil
+	switch e := event.(type) {
+	case Begin:
+		s.when(idle, s.askPlan)
+	case Planned:
+		s.when(planning, func() { s.planned(e) })
+	case Imported:
+		s.when(importing, func() { s.imported(e) })
+	case Received:
+		s.when(streaming, func() { s.received(e.Event) })
+	case Broken:
+		s.when(streaming, func() { s.broken(e.Err, e.SilentFor) })
+	case Probed:
+		s.when(probing, func() { s.probed(e.Reports) })
+	case RetryAnswered:
+		s.when(asking, func() { s.retryAnswered(e.Allowed) })
+	case Abandoned:
+		if s.phase != ended {
+			s.sent = s.sent || s.phase == streaming
+			s.giveUp(s.stated(e.Err))
+		}
+	}
+	return s.actions
+}
+
+// when runs step if the session is in the phase.
+func (s *Session) when(p phase, step func()) {
+	if s.phase == p {
+		step()
+	}
+}
+
+func (s *Session) do(actions ...Action) { s.actions = append(s.actions, actions...) }
+
+// tokens returns the prompt and the accepted tokens.
+func (s *Session) tokens() []fleet.Token {
+	return slices.Concat(s.request.Prompt, s.accepted)
+}
+
+// target is the number of positions before the one that yields the next token.
+func (s *Session) target() int { return len(s.request.Prompt) + len(s.accepted) - 1 }
+
+// askPlan asks for the chain of the next attempt.
+func (s *Session) askPlan() {
+	s.phase = planning
+	s.do(AskPlan{Need: Need{
+		Request:  s.request,
+		Attempt:  s.attempt + 1,
+		Tokens:   s.target() + 1,
+		Excluded: slices.Clone(s.excluded),
+		Holding:  s.holders(),
+	}})
+}
+
+// planned takes the chain, or gives up when there is none.
+func (s *Session) planned(e Planned) {
+	err := e.Err
+	if err == nil {
+		err = s.checkChain(e.Chain)
+	}
+	if err != nil {
+		s.giveUp(s.planError(err))
+		return
+	}
+	s.chain = slices.Clone(e.Chain)
+	s.chooseAndGo()
+}
+
+// checkChain states why the chain can't serve the request.
+func (s *Session) checkChain(chain []Stage) error {
+	next := 0
+	for _, stage := range chain {
+		if stage.Ref.Layers.First != next || stage.Ref.Layers.Len() <= 0 {
+			return fmt.Errorf("%w: layers %s after layer %d", ErrPlan, stage.Ref.Layers, next)
+		}
+		if slices.Contains(s.excluded, stage.Ref.Upstream) {
+			return fmt.Errorf("%w: %s is excluded", ErrPlan, stage.Ref.Upstream)
+		}
+		next = stage.Ref.Layers.End
+	}
+	if next != s.request.Layers || next == 0 {
+		return fmt.Errorf("%w: %d of %d layers", ErrPlan, next, s.request.Layers)
+	}
+	return nil
+}
+
+// chooseAndGo chooses the start position and begins the imports, or the attempt
+// where none are needed.
+func (s *Session) chooseAndGo() {
+	s.plan = choose(s.chain, s.touched, s.target())
+	if len(s.plan.transfers) == 0 {
+		s.open()
+		return
+	}
+	s.phase = importing
+	s.do(Import{Transfers: s.plan.transfers})
+}
+
+// imported opens the attempt, or chooses again without the failed transfers.
+func (s *Session) imported(e Imported) {
+	failed := false
+	for i, err := range e.Errs {
+		transfer := s.plan.transfers[i]
+		if err != nil {
+			s.touch(transfer.From).noExport = true
+			failed = true
+			continue
+		}
+		to := s.touch(transfer.To)
+		to.positions = transfer.Positions
+	}
+	if failed {
+		s.chooseAndGo()
+		return
+	}
+	s.open()
+}
+
+// open starts the next attempt.
+func (s *Session) open() {
+	s.phase = streaming
+	s.attempt++
+	s.acceptedBefore = len(s.accepted)
+	refs := make([]upstream.StageRef, len(s.chain))
+	for i, stage := range s.chain {
+		refs[i] = stage.Ref
+		refs[i].KeepKV = s.plan.start > 0
+		s.touch(stage)
+	}
+	s.notify(Observation{
+		Kind:       AttemptStarted,
+		Start:      s.plan.start,
+		Recomputed: max(0, min(s.furthest, s.target())-s.plan.start),
+		Imported:   s.plan.moved(),
+	})
+	s.do(Open{Head: s.chain[0], Request: upstream.GenerateRequest{
+		Session:       s.request.Session,
+		Attempt:       s.attempt,
+		Model:         s.request.Model,
+		Version:       s.request.Version,
+		Adapter:       s.request.Adapter,
+		Chain:         refs,
+		Tokens:        s.tokens(),
+		PromptLen:     len(s.request.Prompt),
+		StartPosition: s.plan.start,
+		MaxTokens:     s.request.MaxTokens,
+		Rank:          s.request.Rank,
+	}})
+}
+
+// touch returns the record of a stage, a new one if no attempt has reached it.
+func (s *Session) touch(stage Stage) *touchedStage {
+	if t := find(s.touched, stage.Ref); t != nil {
+		t.stage = stage
+		return t
+	}
+	t := &touchedStage{stage: stage, positions: -1}
+	s.touched = append(s.touched, t)
+	return t
+}
+
+// received accepts, drops or rejects an event of the stream.
+func (s *Session) received(e upstream.TokenEvent) {
+	switch {
+	case e.Session != s.request.Session:
+		s.drop(fmt.Errorf("%w: session %s", upstream.ErrMismatch, e.Session))
+	case e.Attempt != s.attempt:
+		s.drop(fmt.Errorf("%w: attempt %d", upstream.ErrMismatch, e.Attempt))
+	case e.Final:
+		s.final(e)
+	case e.Index < len(s.accepted):
+		s.drop(fmt.Errorf("%w: index %d again", upstream.ErrMismatch, e.Index))
+	case e.Index > len(s.accepted):
+		s.broken(fmt.Errorf("%w: %d instead of %d", ErrGap, e.Index, len(s.accepted)), 0)
+	case len(s.accepted) >= s.request.MaxTokens:
+		s.broken(fmt.Errorf("%w: token beyond the limit of %d", ErrCount, s.request.MaxTokens), 0)
+	case !s.receiptsFit(e.Receipts):
+		s.broken(fmt.Errorf("%w: %v", ErrReceipts, e.Receipts), 0)
+	default:
+		s.accept(e.Token)
+	}
+}
+
+// receiptsFit reports whether each stage of the chain ran its layers exactly once, in order.
+func (s *Session) receiptsFit(receipts []upstream.Receipt) bool {
+	return slices.EqualFunc(s.chain, receipts, func(stage Stage, r upstream.Receipt) bool {
+		return stage.Ref.Upstream == r.Upstream && stage.Ref.Layers == r.Layers
+	})
+}
+
+// accept delivers a token.
+func (s *Session) accept(token fleet.Token) {
+	s.accepted = append(s.accepted, token)
+	s.furthest = max(s.furthest, s.target())
+	s.do(Deliver{Token: token})
+	s.recovered()
+}
+
+// recovered reports the end of a failure, if one was open.
+func (s *Session) recovered() {
+	if s.symptom.IsZero() {
+		return
+	}
+	s.notify(Observation{Kind: Recovered, SinceSymptom: s.now.Sub(s.symptom)})
+	s.symptom = time.Time{}
+}
+
+// final ends the session when the final event matches the delivered tokens.
+func (s *Session) final(e upstream.TokenEvent) {
+	short := e.FinishReason == "length" && len(s.accepted) != s.request.MaxTokens
+	if e.Index != len(s.accepted) || short {
+		s.broken(fmt.Errorf("%w: %d tokens, %s, after %d", ErrCount, e.Index, e.FinishReason, len(s.accepted)), 0)
+		return
+	}
+	s.recovered()
+	s.phase = ended
+	s.notify(Observation{Kind: SessionEnded})
+	s.do(CloseStream{})
+	s.release(func(t *touchedStage) bool { return !s.inChain(t.stage.Ref.Upstream) })
+	s.do(Finish{Result: Result{Tokens: len(s.accepted), FinishReason: e.FinishReason, Attempts: s.attempt}})
+}
+
+// drop reports an event that is not for this place of this attempt.
+func (s *Session) drop(err error) {
+	s.notify(Observation{Kind: EventDropped, Err: err})
+}
+
+// broken closes the attempt's stream and asks the stages for their progress.
+func (s *Session) broken(err error, silentFor time.Duration) {
+	s.failure = err
+	if s.symptom.IsZero() {
+		s.symptom = s.now.Add(-silentFor)
+	}
+	s.sent = s.sent || wasSent(err)
+	s.do(CloseStream{})
+	if s.attempt >= s.limits.Attempts {
+		s.notifyFailed(verdict{})
+		s.giveUp(s.exhausted())
+		return
+	}
+	var stages []Stage
+	for _, t := range s.touched {
+		if !t.lost {
+			stages = append(stages, t.stage)
+		}
+	}
+	s.phase = probing
+	s.do(Probe{Stages: stages})
+}
+
+// wasSent reports whether the attempt may have run.
+func wasSent(err error) bool {
+	var failure *upstream.Error
+	return !errors.As(err, &failure) || failure.Sent
+}
+
+// probed finds the suspects and asks whether another attempt is allowed.
+func (s *Session) probed(reports []Report) {
+	s.record(reports)
+	v := s.judge(reports)
+	for _, id := range slices.Concat(v.suspects, v.refusals) {
+		if !slices.Contains(s.excluded, id) {
+			s.excluded = append(s.excluded, id)
+		}
+	}
+	s.notifyFailed(v)
+	s.phase = asking
+	s.do(AskRetry{Blamed: v.suspects})
+}
+
+// record notes what the stages hold.
+func (s *Session) record(reports []Report) {
+	for _, r := range reports {
+		for _, t := range s.touched {
+			if t.stage.Ref.Upstream != r.Upstream {
+				continue
+			}
+			t.lost = r.Err != nil
+			t.positions = -1
+			if r.Err == nil {
+				t.positions = r.Progress.NextPosition
+				s.furthest = max(s.furthest, r.Progress.NextPosition)
+			}
+		}
+	}
+}
+
+// unreachable returns those of the upstreams that did not answer the last probe.
+func (s *Session) unreachable(ids []fleet.UpstreamID) []fleet.UpstreamID {
+	var lost []fleet.UpstreamID
+	for _, t := range s.touched {
+		if t.lost && slices.Contains(ids, t.stage.Ref.Upstream) {
+			lost = append(lost, t.stage.Ref.Upstream)
+		}
+	}
+	return lost
+}
+
+// retryAnswered plans the next attempt or gives up.
+func (s *Session) retryAnswered(allowed bool) {
+	if allowed {
+		s.askPlan()
+		return
+	}
+	s.giveUp(s.failed(result.RetryBudgetSpent, "the retry budget is spent"))
+}
+
+// giveUp ends the session without a final event.
+func (s *Session) giveUp(err *result.Error) {
+	if s.phase == streaming {
+		s.do(CloseStream{})
+	}
+	s.phase = ended
+	s.notify(Observation{Kind: SessionEnded, Err: err, Sent: s.sent})
+	s.release(func(*touchedStage) bool { return true })
+	s.do(Finish{Result: Result{Tokens: len(s.accepted), Attempts: s.attempt}, Err: err})
+}
+
+// release frees the session on the touched stages that match.
+func (s *Session) release(match func(*touchedStage) bool) {
+	var stages []Stage
+	for _, t := range s.touched {
+		if match(t) {
+			stages = append(stages, t.stage)
+		}
+	}
+	if len(stages) > 0 {
+		s.do(Release{Stages: stages, Attempt: s.attempt})
+	}
+}
+
+// inChain reports whether the upstream is in the current chain.
+func (s *Session) inChain(id fleet.UpstreamID) bool {
+	return slices.ContainsFunc(s.chain, func(stage Stage) bool { return stage.Ref.Upstream == id })
+}
+
+// notifyFailed reports the failed attempt.
+func (s *Session) notifyFailed(v verdict) {
+	s.notify(Observation{
+		Kind: AttemptFailed, Suspects: v.suspects, Unreachable: s.unreachable(v.suspects), Refusals: v.refusals,
+		Sent: wasSent(s.failure), SinceSymptom: s.now.Sub(s.symptom), Err: s.failure,
+	})
+}
+
+// notify completes an observation.
+func (s *Session) notify(o Observation) {
+	o.At = s.now
+	o.Session = s.request.Session
+	o.Attempt = s.attempt
+	o.Accepted = len(s.accepted)
+	for _, stage := range s.chain {
+		o.Chain = append(o.Chain, stage.Ref.Upstream)
+	}
+	s.do(Notify{Observation: o})
+}
--- a/pkg/standin/chain.go
+++ b/pkg/standin/chain.go
@@ -103,7 +103,7 @@
 	e.batch.add(e, w)
 	if !e.await(ctx, w.done, beat) {
 		e.leave(s, change)
-		return nil, refuse("session %s attempt %d was ended", req.Session, req.Attempt)
+		return nil, refuse(upstream.RefusedAttempt, "session %s attempt %d was ended", req.Session, req.Attempt)
 	}
 	return e.compute(s, change, req)
 }
@@ -137,7 +137,7 @@
 		return nil, 0, err
 	}
 	if have := e.positions(s); req.First != have {
-		return nil, 0, refuse("position %d is not the next one, %d", req.First, have)
+		return nil, 0, refuse(upstream.RefusedPosition, "position %d is not the next one, %d", req.First, have)
 	}
 	s.busy = true
 	s.stop = stop
@@ -149,14 +149,14 @@
 	a, ref := e.assignment, req.Chain[0]
 	switch {
 	case e.loading || a.Role != upstream.RoleServe:
-		return refuse("engine is not serving")
+		return refuse(upstream.RefusedAssignment, "engine is not serving")
 	case ref.Upstream != fleet.UpstreamID(e.id):
-		return refuse("request is for engine %s", ref.Upstream)
+		return refuse(upstream.RefusedAssignment, "request is for engine %s", ref.Upstream)
 	case a.Model != req.Model || a.Version != req.Version || a.Layers != ref.Layers:
-		return refuse("engine holds %s %s layers %s, not %s %s layers %s",
+		return refuse(upstream.RefusedAssignment, "engine holds %s %s layers %s, not %s %s layers %s",
 			a.Model, a.Version, a.Layers, req.Model, req.Version, ref.Layers)
 	case !holdsAdapter(a, req.Adapter):
-		return refuse("engine does not hold adapter %s", req.Adapter)
+		return refuse(upstream.RefusedAssignment, "engine does not hold adapter %s", req.Adapter)
 	}
 	return nil
 }
@@ -165,15 +165,15 @@
 func (e *Engine) checkAttempt(s *session, req forwardRequest) error {
 	if !req.Start {
 		if req.Attempt != s.started || req.Attempt < s.attempt {
-			return refuse("attempt %d is not open; attempt %d is", req.Attempt, s.started)
+			return refuse(upstream.RefusedAttempt, "attempt %d is not open; attempt %d is", req.Attempt, s.started)
 		}
 		if s.busy {
-			return refuse("a position of attempt %d is running", req.Attempt)
+			return refuse(upstream.RefusedPosition, "a position of attempt %d is running", req.Attempt)
 		}
 		return nil
 	}
 	if req.Attempt <= s.started || req.Attempt < s.attempt {
-		return refuse("attempt %d is not higher than %d", req.Attempt, max(s.started, s.attempt-1))
+		return refuse(upstream.RefusedAttempt, "attempt %d is not higher than %d", req.Attempt, max(s.started, s.attempt-1))
 	}
 	s.interrupt()
 	s.attempt, s.started = req.Attempt, req.Attempt
@@ -227,7 +227,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s.change != change {
-		return nil, refuse("session %s attempt %d was ended", req.Session, req.Attempt)
+		return nil, refuse(upstream.RefusedAttempt, "session %s attempt %d was ended", req.Session, req.Attempt)
 	}
 	layers := e.assignment.Layers
 	n := layers.Len()
@@ -284,6 +284,12 @@
 	if err != nil {
 		return forwardResult{}, lost(err)
 	}
+	defer func() {
+		if ctx.Err() != nil {
+			// Other idle connections to the stage may have gone silent too.
+			caller.CloseIdle()
+		}
+	}()
 	resp, _, err := caller.Do(httpReq, false)
 	if err != nil {
 		return forwardResult{}, lost(err)
@@ -304,7 +310,7 @@
 			lines.Scan()
 			return *line.Result, nil
 		case line.Error != nil:
-			failure := &stageError{status: http.StatusBadGateway, message: line.Error.Message, failed: line.Error.FailedStage, refused: line.Error.Refused}
+			failure := &stageError{status: http.StatusBadGateway, message: line.Error.Message, failed: line.Error.FailedStage, refusal: line.Error.Refusal}
 			if failure.failed == "" {
 				failure.failed = next.Upstream
 			}
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -180,15 +180,15 @@
 	message string
 	// failed names the stage that failed when it isn't the one that reports.
 	failed  fleet.UpstreamID
-	refused bool
+	refusal upstream.Refusal
 }
 
 // Error returns the message.
 func (e *stageError) Error() string { return e.message }
 
 // refuse returns the error of a request that did not run here.
-func refuse(format string, args ...any) *stageError {
-	return &stageError{status: http.StatusConflict, message: fmt.Sprintf(format, args...), refused: true}
+func refuse(reason upstream.Refusal, format string, args ...any) *stageError {
+	return &stageError{status: http.StatusConflict, message: fmt.Sprintf(format, args...), refusal: reason}
 }
 
 // state returns the report, which may be as old as the configured lag.
@@ -220,7 +220,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.config.Fencing == FencingEnforced && o.Epoch < e.epoch {
-		return refuse("epoch %d is older than %d", o.Epoch, e.epoch)
+		return refuse(upstream.RefusedOrder, "epoch %d is older than %d", o.Epoch, e.epoch)
 	}
 	e.epoch = max(e.epoch, o.Epoch)
 	if sameAssignment(e.assignment, o.Wanted) {
@@ -320,7 +320,7 @@
 	s := e.sessions[req.Session]
 	if s == nil || e.positions(s) < req.Positions || e.loading {
 		e.mu.Unlock()
-		return upstream.KVCache{}, refuse("session %s has no KV cache of %d positions", req.Session, req.Positions)
+		return upstream.KVCache{}, refuse(upstream.RefusedPosition, "session %s has no KV cache of %d positions", req.Session, req.Positions)
 	}
 	cache := upstream.KVCache{
 		Session: req.Session, Model: e.assignment.Model, Version: e.assignment.Version,
@@ -347,10 +347,10 @@
 	defer e.mu.Unlock()
 	a := e.assignment
 	if e.loading || cache.Model != a.Model || cache.Version != a.Version || cache.Layers != a.Layers {
-		return refuse("KV cache of %s %s layers %s does not fit", cache.Model, cache.Version, cache.Layers)
+		return refuse(upstream.RefusedAssignment, "KV cache of %s %s layers %s does not fit", cache.Model, cache.Version, cache.Layers)
 	}
 	if len(digests) != cache.Positions*a.Layers.Len() {
-		return refuse("KV cache of %d positions has %d digests", cache.Positions, len(digests))
+		return refuse(upstream.RefusedOther, "KV cache of %d positions has %d digests", cache.Positions, len(digests))
 	}
 	s := e.session(cache.Session)
 	s.interrupt()
--- a/pkg/standin/generate.go
+++ b/pkg/standin/generate.go
@@ -12,6 +12,9 @@
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
 
+// endLimit bounds the calls that tell the other stages of the end.
+const endLimit = time.Second
+
 // serveGenerate runs a generation as the head of its chain.
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
 	var req upstream.GenerateRequest
@@ -38,7 +41,7 @@
 func (e *Engine) checkGenerate(req upstream.GenerateRequest) error {
 	if len(req.Chain) == 0 || req.PromptLen < 1 || req.PromptLen > len(req.Tokens) ||
 		req.StartPosition < 0 || req.StartPosition >= len(req.Tokens) {
-		return &stageError{status: http.StatusBadRequest, message: "chain, prompt or start position do not fit", refused: true}
+		return &stageError{status: http.StatusBadRequest, message: "chain, prompt or start position do not fit", refusal: upstream.RefusedOther}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -47,7 +50,7 @@
 	}
 	s := e.sessions[req.Session]
 	if s != nil && (req.Attempt <= s.started || req.Attempt < s.attempt) {
-		return refuse("attempt %d is not higher than %d", req.Attempt, max(s.started, s.attempt-1))
+		return refuse(upstream.RefusedAttempt, "attempt %d is not higher than %d", req.Attempt, max(s.started, s.attempt-1))
 	}
 	return nil
 }
@@ -103,7 +106,11 @@
 	}
 	call.End = true
 	call.Tokens, call.Activations = nil, nil
-	_, _ = e.forward(ctx, call, emit.beat)
+	go func() {
+		ctx, cancel := context.WithTimeout(e.lifetime(), endLimit)
+		defer cancel()
+		_, _ = e.forward(ctx, call, func() {})
+	}()
 	return nil
 }
 
@@ -198,7 +205,7 @@
 	if failed == "" {
 		failed = fleet.UpstreamID(id)
 	}
-	return &upstream.ErrorBody{Message: err.message, FailedStage: failed, Refused: err.refused}
+	return &upstream.ErrorBody{Message: err.message, FailedStage: failed, Refusal: err.refusal}
 }
 
 // writeError answers with the status of the error.
@@ -207,7 +214,7 @@
 	if !errors.As(err, &failure) {
 		failure = &stageError{status: http.StatusServiceUnavailable, message: err.Error()}
 	}
-	writeJSON(w, failure.status, upstream.ErrorBody{Message: failure.message, FailedStage: failure.failed, Refused: failure.refused})
+	writeJSON(w, failure.status, upstream.ErrorBody{Message: failure.message, FailedStage: failure.failed, Refusal: failure.refusal})
 }
 
 // readJSON decodes the body, or answers with status 400.
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 )
@@ -113,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &silentConn{Conn: conn, server: l.server}
+	c := &silentConn{Conn: conn, server: l.server, closed: make(chan struct{})}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
@@ -125,15 +126,25 @@
 	net.Conn
 	server *Server
 	silent atomic.Bool
+	closed chan struct{}
+	close  sync.Once
 }
 
-// Read returns what the peer wrote before the silence.
+// Read returns what the peer sent before the silence. The peer's closing is not
+// seen after that either.
 func (c *silentConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if err != nil || !c.silent.Load() {
+		if !c.silent.Load() {
 			return n, err
 		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			<-c.closed
+			return 0, net.ErrClosed
+		}
+		if err != nil {
+			return 0, err
+		}
 	}
 }
 
@@ -147,9 +158,12 @@
 
 // Close closes the connection.
 func (c *silentConn) Close() error {
-	c.server.mu.Lock()
-	delete(c.server.conns, c)
-	c.server.mu.Unlock()
+	c.close.Do(func() {
+		c.server.mu.Lock()
+		delete(c.server.conns, c)
+		c.server.mu.Unlock()
+		close(c.closed)
+	})
 	return c.Conn.Close()
 }
 
--- a/pkg/upstream/http_engine.go
+++ b/pkg/upstream/http_engine.go
@@ -24,9 +24,24 @@
 // maxErrorBody is the longest error body that is read, in bytes.
 const maxErrorBody = 64 << 10
 
-// ErrSilent is the cause of an Error when the connection stayed silent for longer than the limit.
+// drainLimit is the longest wait for the end of a stream after its final event.
+const drainLimit = 10 * time.Millisecond
+
+// ErrSilent matches the cause of an Error when the connection stayed silent for longer than the limit.
 var ErrSilent = errors.New("connection silent")
 
+// SilentError is that cause. It matches ErrSilent.
+type SilentError struct {
+	// For is how long no byte came.
+	For time.Duration
+}
+
+// Error states how long no byte came.
+func (e *SilentError) Error() string { return fmt.Sprintf("no byte for %s", e.For) }
+
+// Is reports whether target is ErrSilent.
+func (e *SilentError) Is(target error) bool { return target == ErrSilent }
+
 // ErrNoFinal is the cause of an Error when a stream ended without a final event.
 var ErrNoFinal = errors.New("stream ended without a final event")
 
@@ -203,16 +218,18 @@
 		body.Message = http.StatusText(resp.StatusCode)
 	}
 	refused := resp.StatusCode >= 400 && resp.StatusCode < 500
-	body.Refused = refused
+	if refused && body.Refusal == "" {
+		body.Refusal = RefusedOther
+	}
 	failure := e.fail(!refused, resp.StatusCode, body.cause())
 	failure.FailedStage = body.FailedStage
 	return failure
 }
 
-// cause returns the message as an error, which wraps ErrRefused for a refusal.
+// cause returns the message as an error, a *RefusalError for a refusal.
 func (b *ErrorBody) cause() error {
-	if b.Refused {
-		return fmt.Errorf("%w: %s", ErrRefused, b.Message)
+	if b.Refusal != "" {
+		return &RefusalError{Refusal: b.Refusal, Message: b.Message}
 	}
 	return errors.New(b.Message)
 }
@@ -224,7 +241,7 @@
 		return err
 	}
 	e.caller.CloseIdle()
-	return e.fail(failure.Sent, failure.Status, ErrSilent)
+	return e.fail(failure.Sent, failure.Status, &SilentError{For: e.options.silence})
 }
 
 func (e *HTTPEngine) fail(sent bool, status int, err error) *Error {
@@ -287,6 +304,7 @@
 		s.dog.Stop()
 		if s.ended {
 			// Reading to the end lets the connection be used again.
+			defer time.AfterFunc(drainLimit, s.cancel).Stop()
 			_, _ = io.Copy(io.Discard, io.LimitReader(s.body, maxErrorBody))
 		}
 		s.cancel()
--- a/pkg/upstream/protocol.go
+++ b/pkg/upstream/protocol.go
@@ -44,11 +44,39 @@
 	Message string `json:"message"`
 	// FailedStage names the stage that failed, where that is known.
 	FailedStage fleet.UpstreamID `json:"failed_stage,omitempty"`
-	// Refused states that the stage refused the call, for its attempt, position or
-	// assignment, and is otherwise well.
-	Refused bool `json:"refused,omitempty"`
+	// Refusal states why the stage refused the call; it is otherwise well. Empty for a failure.
+	Refusal Refusal `json:"refusal,omitempty"`
 }
 
+// Refusal is the reason why a stage refused a call.
+type Refusal string
+
+// The reasons of refusals.
+const (
+	// RefusedAssignment states that the engine holds other weights or none.
+	RefusedAssignment Refusal = "assignment"
+	// RefusedAttempt states that a higher attempt of the session is known.
+	RefusedAttempt Refusal = "attempt"
+	// RefusedPosition states that the position isn't the next one, or that the KV cache is missing.
+	RefusedPosition Refusal = "position"
+	// RefusedOrder states that an order carried an old epoch.
+	RefusedOrder Refusal = "order"
+	// RefusedOther stands for any other refusal before the request ran.
+	RefusedOther Refusal = "other"
+)
+
+// RefusalError is the cause of an Error when a stage refused the call. It matches ErrRefused.
+type RefusalError struct {
+	Refusal Refusal
+	Message string
+}
+
+// Error formats the reason and the message.
+func (e *RefusalError) Error() string { return "refused (" + string(e.Refusal) + "): " + e.Message }
+
+// Is reports whether target is ErrRefused.
+func (e *RefusalError) Is(target error) bool { return target == ErrRefused }
+
 // CancelRequest is the body of a cancel call.
 type CancelRequest struct {
 	Session string `json:"session"`
