--- a/pkg/internal/httpcall/httpcall.go
+++ b/pkg/internal/httpcall/httpcall.go
@@ -13,6 +13,10 @@
 	"time"
 )
 
+// idleConnections is the number of idle connections kept for a peer. The default
+// of net/http, 2, would open a new connection for most streams of a busy engine.
+const idleConnections = 64
+
 // Caller sends requests to one peer. It is safe for concurrent use.
 type Caller struct {
 	base   string
@@ -36,8 +40,14 @@
 		transport = http.DefaultTransport
 	}
 	if t, ok := transport.(*http.Transport); ok {
-		pooled.Transport = t.Clone()
-		single := t.Clone()
+		shared := t.Clone()
+		if shared.MaxIdleConnsPerHost == 0 {
+			shared.MaxIdleConnsPerHost = idleConnections
+		}
+		// A compressed stream would be held back in the compressor.
+		shared.DisableCompression = true
+		pooled.Transport = shared
+		single := shared.Clone()
 		single.DisableKeepAlives = true
 		fresh.Transport = single
 	}
--- a/pkg/pipeline/recovery.go
+++ b/pkg/pipeline/recovery.go
@@ -93,12 +93,13 @@
 // holders lists the stages that hold KV cache.
 func (s *Session) holders() []Holder {
 	var holders []Holder
+	excluded := s.exclusions()
 	for _, t := range s.touched {
 		if t.positions > 0 {
 			holders = append(holders, Holder{
 				Ref:       t.stage.Ref,
 				Positions: t.positions,
-				Excluded:  slices.Contains(s.excluded, t.stage.Ref.Upstream),
+				Excluded:  slices.Contains(excluded, t.stage.Ref.Upstream),
 			})
 		}
 	}
--- a/pkg/pipeline/session.go
+++ b/pkg/pipeline/session.go
@@ -147,7 +147,10 @@
 	chain    []Stage
 	plan     recovery
 	touched  []*touchedStage
-	excluded []fleet.UpstreamID
+	// excluded lists the stages that failed in this session or refused their assignment.
+	excluded []exclusion
+	// relaxed is set while the plan may use stages that failed but answer again.
+	relaxed bool
 
 	// sent is set once an attempt may have run somewhere.
 	sent bool
@@ -217,6 +220,37 @@
 // target is the number of positions before the one that yields the next token.
 func (s *Session) target() int { return len(s.request.Prompt) + len(s.accepted) - 1 }
 
+// exclusion is a stage that the session does not plan again.
+type exclusion struct {
+	id fleet.UpstreamID
+	// hard is set when the stage holds other weights or can't be reached. Other
+	// stages are used again when there is no chain without them.
+	hard bool
+}
+
+// exclusions returns the upstreams that the next chain must not contain.
+func (s *Session) exclusions() []fleet.UpstreamID {
+	var ids []fleet.UpstreamID
+	for _, x := range s.excluded {
+		if x.hard || !s.relaxed {
+			ids = append(ids, x.id)
+		}
+	}
+	return ids
+}
+
+// exclude keeps the stages out of later chains.
+func (s *Session) exclude(ids []fleet.UpstreamID, hard func(fleet.UpstreamID) bool) {
+	for _, id := range ids {
+		i := slices.IndexFunc(s.excluded, func(x exclusion) bool { return x.id == id })
+		if i < 0 {
+			s.excluded = append(s.excluded, exclusion{id: id, hard: hard(id)})
+		} else {
+			s.excluded[i].hard = s.excluded[i].hard || hard(id)
+		}
+	}
+}
+
 // askPlan asks for the chain of the next attempt.
 func (s *Session) askPlan() {
 	s.phase = planning
@@ -224,7 +258,7 @@
 		Request:  s.request,
 		Attempt:  s.attempt + 1,
 		Tokens:   s.target() + 1,
-		Excluded: slices.Clone(s.excluded),
+		Excluded: s.exclusions(),
 		Holding:  s.holders(),
 	}})
 }
@@ -236,13 +270,24 @@
 		err = s.checkChain(e.Chain)
 	}
 	if err != nil {
-		s.giveUp(s.planError(err))
+		s.noPlan(err)
 		return
 	}
 	s.chain = slices.Clone(e.Chain)
 	s.chooseAndGo()
 }
 
+// noPlan asks again with the stages that failed but answer, or gives up.
+func (s *Session) noPlan(err error) {
+	strict := len(s.exclusions())
+	s.relaxed = true
+	if len(s.exclusions()) < strict {
+		s.askPlan()
+		return
+	}
+	s.giveUp(s.planError(err))
+}
+
 // checkChain states why the chain can't serve the request.
 func (s *Session) checkChain(chain []Stage) error {
 	next := 0
@@ -250,7 +295,7 @@
 		if stage.Ref.Layers.First != next || stage.Ref.Layers.Len() <= 0 {
 			return fmt.Errorf("%w: layers %s after layer %d", ErrPlan, stage.Ref.Layers, next)
 		}
-		if slices.Contains(s.excluded, stage.Ref.Upstream) {
+		if slices.Contains(s.exclusions(), stage.Ref.Upstream) {
 			return fmt.Errorf("%w: %s is excluded", ErrPlan, stage.Ref.Upstream)
 		}
 		next = stage.Ref.Layers.End
@@ -302,7 +347,7 @@
 	for i, stage := range s.chain {
 		refs[i] = stage.Ref
 		refs[i].KeepKV = s.plan.start > 0
-		s.touch(stage)
+		s.touch(stage).lost = false
 	}
 	s.notify(Observation{
 		Kind:       AttemptStarted,
@@ -435,11 +480,10 @@
 func (s *Session) probed(reports []Report) {
 	s.record(reports)
 	v := s.judge(reports)
-	for _, id := range slices.Concat(v.suspects, v.refusals) {
-		if !slices.Contains(s.excluded, id) {
-			s.excluded = append(s.excluded, id)
-		}
-	}
+	lost := s.unreachable(v.suspects)
+	s.exclude(v.suspects, func(id fleet.UpstreamID) bool { return slices.Contains(lost, id) })
+	s.exclude(v.refusals, func(fleet.UpstreamID) bool { return true })
+	s.relaxed = false
 	s.notifyFailed(v)
 	s.phase = asking
 	s.do(AskRetry{Blamed: v.suspects})
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -31,7 +31,8 @@
 	Fencing string `json:"fencing"`
 	// Slots limits the sequences in one step. Default 8.
 	Slots int `json:"slots"`
-	// Sessions limits the generations that run with this engine as head; more wait by rank. Default Slots.
+	// Sessions limits the generations that run with this engine as head; more wait
+	// by rank. A chain of n stages needs n times Slots to fill every step. Default 4 times Slots.
 	Sessions int `json:"sessions"`
 	// StepPerLayer is the time of one step for each layer. Default 1ms.
 	StepPerLayer Duration `json:"step_per_layer"`
@@ -64,7 +65,7 @@
 func (c EngineConfig) withDefaults() EngineConfig {
 	setDefault(&c.Fencing, FencingEnforced)
 	setDefault(&c.Slots, 8)
-	setDefault(&c.Sessions, c.Slots)
+	setDefault(&c.Sessions, 4*c.Slots)
 	setDefault(&c.StepPerLayer, Duration(time.Millisecond))
 	setDefault(&c.PrefillPerLayer, c.StepPerLayer/16)
 	setDefault(&c.PrefillChunk, 256)
--- a/pkg/upstream/http_service.go
+++ b/pkg/upstream/http_service.go
@@ -17,19 +17,21 @@
 
 // HTTPService is the HTTP client of one server of a plain service. Calls with an
 // idempotency key use a new connection each: an open one may have gone silent,
-// and then the outcome would be unknown for nothing.
+// and then the outcome would be unknown for nothing. Other calls use pooled
+// connections and fail after the silence limit.
 type HTTPService struct {
-	id     fleet.UpstreamID
-	path   string
-	caller *httpcall.Caller
+	id      fleet.UpstreamID
+	path    string
+	caller  *httpcall.Caller
+	options options
 }
 
 var _ Service = (*HTTPService)(nil)
 
 // NewHTTPService returns a client that posts to the path at the address, an
 // IP:port or a URL. A nil client means http.DefaultClient.
-func NewHTTPService(id fleet.UpstreamID, address, path string, client *http.Client) *HTTPService {
-	return &HTTPService{id: id, path: path, caller: httpcall.New(address, client)}
+func NewHTTPService(id fleet.UpstreamID, address, path string, client *http.Client, opts ...Option) *HTTPService {
+	return &HTTPService{id: id, path: path, caller: httpcall.New(address, client), options: collect(opts)}
 }
 
 // Call sends the request once and never retries. An answer below 500 that names
@@ -37,6 +39,24 @@
 // promises that the request did not run; any other failure after the connection
 // was made leaves that open.
 func (s *HTTPService) Call(ctx context.Context, req ServiceRequest) (ServiceResponse, error) {
+	if req.Key != "" {
+		return s.call(ctx, req)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dog := httpcall.NewWatchdog(s.options.silence, cancel)
+	defer dog.Stop()
+	resp, err := s.call(ctx, req)
+	var failure *Error
+	if dog.Fired() && errors.As(err, &failure) {
+		s.caller.CloseIdle()
+		err = s.fail(failure.Sent, failure.Status, &SilentError{For: s.options.silence})
+	}
+	return resp, err
+}
+
+// call sends the request over a new connection if it has an idempotency key.
+func (s *HTTPService) call(ctx context.Context, req ServiceRequest) (ServiceResponse, error) {
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, s.caller.URL(s.path), bytes.NewReader(req.Body))
 	if err != nil {
 		return ServiceResponse{}, s.fail(false, 0, err)
