Test the session's invariants with random worlds

Found: a session that had received an event could still report that nothing ran when the stream error claimed that the request was not sent.

--- a/pkg/pipeline/session.go
+++ b/pkg/pipeline/session.go
@@ -385,6 +385,7 @@
 
 // received accepts, drops or rejects an event of the stream.
 func (s *Session) received(e upstream.TokenEvent) {
+	s.sent = true
 	switch {
 	case e.Session != s.request.Session:
 		s.drop(fmt.Errorf("%w: session %s", upstream.ErrMismatch, e.Session))
--- /dev/null
+++ b/pkg/pipeline/session_test.go
@@ -0,0 +1,234 @@
+package pipeline_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/pipeline"
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// goodToken is the right token for an index; every wrong event carries another.
+func goodToken(index int) fleet.Token { return fleet.Token(1000 + index) }
+
+// world answers a session's actions at random and checks what the session does.
+type world struct {
+	t       *rapid.T
+	session *pipeline.Session
+	now     time.Time
+	request pipeline.Request
+
+	need      pipeline.Need
+	open      *pipeline.Open
+	lastOpen  int
+	delivered int
+	// held is what each upstream can have of the KV cache, as last reported or imported.
+	held map[fleet.UpstreamID]int
+	// mayHaveRun is set once an attempt was sent.
+	mayHaveRun bool
+	lastEvent  pipeline.Event
+	finished   *pipeline.Finish
+}
+
+// TestSessionInvariants guards against a token delivered twice, out of order,
+// from another session or attempt or without its receipts; two open attempts; a
+// start position that some stage does not hold; an excluded stage in a chain; a
+// normal end without a matching final event; "not run" for what may have run.
+func TestSessionInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, now: time.Unix(0, 0), held: map[fleet.UpstreamID]int{}}
+		w.request = pipeline.Request{Session: "s", Model: "m", Layers: 6, Prompt: make([]fleet.Token, rapid.IntRange(1, 40).Draw(t, "prompt")), MaxTokens: rapid.IntRange(1, 6).Draw(t, "max")}
+		w.session = pipeline.NewSession(w.request, pipeline.Limits{Attempts: 5})
+		var event pipeline.Event = pipeline.Begin{}
+		for step := 0; w.finished == nil; step++ {
+			if step > 300 {
+				event = pipeline.Abandoned{Err: result.New(result.DeadlineExceeded, result.OutcomeUnknown, "late")}
+			}
+			event = w.step(event)
+		}
+		if actions := w.session.Step(w.now, pipeline.Begin{}); len(actions) > 0 {
+			t.Fatalf("actions after the end: %v", actions)
+		}
+	})
+}
+
+// step applies an event, checks the actions and draws the next event.
+func (w *world) step(event pipeline.Event) pipeline.Event {
+	w.now = w.now.Add(time.Millisecond)
+	w.lastEvent = event
+	var next pipeline.Event
+	for _, action := range w.session.Step(w.now, event) {
+		if w.finished != nil {
+			w.t.Fatalf("%T after Finish", action)
+		}
+		switch a := action.(type) {
+		case pipeline.AskPlan:
+			w.need = a.Need
+			next = w.plan()
+		case pipeline.Import:
+			next = w.imports(a.Transfers)
+		case pipeline.Open:
+			w.opened(a)
+		case pipeline.CloseStream:
+			w.open = nil
+		case pipeline.Probe:
+			next = w.probe(a.Stages)
+		case pipeline.AskRetry:
+			next = pipeline.RetryAnswered{Allowed: rapid.IntRange(0, 9).Draw(w.t, "budget") > 0}
+		case pipeline.Deliver:
+			if a.Token != goodToken(w.delivered) {
+				w.t.Fatalf("token %d delivered as number %d", a.Token, w.delivered)
+			}
+			w.delivered++
+		case pipeline.Finish:
+			w.finish(a)
+		}
+	}
+	if next == nil && w.finished == nil {
+		next = w.streamEvent()
+	}
+	return next
+}
+
+// plan draws a chain, in rare cases one that does not fit.
+func (w *world) plan() pipeline.Event {
+	if rapid.IntRange(0, 19).Draw(w.t, "no plan") == 0 {
+		return pipeline.Planned{Err: errors.New("none")}
+	}
+	var chain []pipeline.Stage
+	for i := range 3 {
+		id := fleet.UpstreamID(fmt.Sprintf("e%d%d", i, rapid.IntRange(0, 2).Draw(w.t, "replica")))
+		chain = append(chain, pipeline.Stage{
+			Ref:                 upstream.StageRef{Upstream: id, Layers: fleet.LayerRange{First: 2 * i, End: 2*i + 2}},
+			PrefillPerPosition:  time.Duration(rapid.IntRange(0, 3).Draw(w.t, "prefill")),
+			TransferPerPosition: time.Duration(rapid.IntRange(0, 3).Draw(w.t, "transfer")),
+		})
+	}
+	if rapid.IntRange(0, 19).Draw(w.t, "short") == 0 {
+		chain = chain[:2]
+	}
+	return pipeline.Planned{Chain: chain}
+}
+
+func (w *world) imports(transfers []pipeline.Transfer) pipeline.Event {
+	errs := make([]error, len(transfers))
+	for i, t := range transfers {
+		if t.From.Ref.Layers != t.To.Ref.Layers || w.held[t.From.Ref.Upstream] < t.Positions {
+			w.t.Fatalf("transfer of %d positions from %s, which holds %d", t.Positions, t.From.Ref.Upstream, w.held[t.From.Ref.Upstream])
+		}
+		if rapid.Bool().Draw(w.t, "transfer fails") {
+			errs[i] = errors.New("lost")
+			continue
+		}
+		w.held[t.To.Ref.Upstream] = t.Positions
+	}
+	return pipeline.Imported{Errs: errs}
+}
+
+// opened checks an attempt as it begins.
+func (w *world) opened(a pipeline.Open) {
+	r := a.Request
+	target := len(w.request.Prompt) + w.delivered - 1
+	layer := 0
+	for _, ref := range r.Chain {
+		if ref.Layers.First != layer || slices.Contains(w.need.Excluded, ref.Upstream) {
+			w.t.Fatalf("chain %v with %v excluded", r.Chain, w.need.Excluded)
+		}
+		layer = ref.Layers.End
+		if r.StartPosition > 0 && (!ref.KeepKV || w.held[ref.Upstream] < r.StartPosition) {
+			w.t.Fatalf("start at %d on %s, which holds %d", r.StartPosition, ref.Upstream, w.held[ref.Upstream])
+		}
+	}
+	if w.open != nil || r.Attempt <= w.lastOpen || layer != 6 || r.StartPosition > target || len(r.Tokens) != target+1 {
+		w.t.Fatalf("open %+v after attempt %d, target %d", r, w.lastOpen, target)
+	}
+	w.open, w.lastOpen = &a, r.Attempt
+}
+
+func (w *world) probe(stages []pipeline.Stage) pipeline.Event {
+	var reports []pipeline.Report
+	for _, s := range stages {
+		r := pipeline.Report{Upstream: s.Ref.Upstream}
+		if rapid.IntRange(0, 3).Draw(w.t, "answers") == 0 {
+			r.Err = errors.New("gone")
+			w.held[s.Ref.Upstream] = 0
+		} else {
+			r.Progress = upstream.SessionProgress{Session: "s", Attempt: w.lastOpen, NextPosition: rapid.IntRange(0, 50).Draw(w.t, "next")}
+			w.held[s.Ref.Upstream] = r.Progress.NextPosition
+		}
+		reports = append(reports, r)
+	}
+	return pipeline.Probed{Reports: reports}
+}
+
+// streamEvent draws an event of the open stream: a right one, a wrong one or a failure.
+func (w *world) streamEvent() pipeline.Event {
+	if w.open == nil {
+		w.t.Fatalf("nothing to wait for after %#v", w.lastEvent)
+	}
+	e := upstream.TokenEvent{Session: "s", Attempt: w.lastOpen, Index: w.delivered, Token: goodToken(w.delivered)}
+	for _, ref := range w.open.Request.Chain {
+		e.Receipts = append(e.Receipts, upstream.Receipt{Upstream: ref.Upstream, Layers: ref.Layers})
+	}
+	kind := rapid.IntRange(0, 14).Draw(w.t, "event")
+	if kind == 0 {
+		sent := rapid.Bool().Draw(w.t, "sent")
+		w.mayHaveRun = w.mayHaveRun || sent
+		return pipeline.Broken{Err: &upstream.Error{Sent: sent, Err: drawCause(w.t)}}
+	}
+	w.mayHaveRun = true
+	if kind < 7 {
+		e.Token = 1
+	}
+	switch kind {
+	case 1:
+		e.Session = "other"
+	case 2:
+		e.Attempt--
+	case 3:
+		e.Index--
+	case 4:
+		e.Index++
+	case 5:
+		e.Receipts = slices.Delete(e.Receipts, 1, 2)
+	case 6:
+		e.Receipts = append(e.Receipts, e.Receipts[0])
+	case 7:
+		e.Final, e.FinishReason = true, "stop"
+		e.Index += rapid.IntRange(-1, 1).Draw(w.t, "count")
+	case 8:
+		e.Final, e.FinishReason = true, "length"
+	}
+	return pipeline.Received{Event: e}
+}
+
+func drawCause(t *rapid.T) error {
+	return rapid.SampledFrom([]error{
+		&upstream.SilentError{For: time.Millisecond},
+		upstream.ErrNoFinal,
+		&upstream.RefusalError{Refusal: upstream.RefusedPosition},
+		&upstream.RefusalError{Refusal: upstream.RefusedAssignment},
+		errors.New("reset"),
+	}).Draw(t, "cause")
+}
+
+// finish checks the end against what happened.
+func (w *world) finish(f pipeline.Finish) {
+	w.finished = &f
+	received, _ := w.lastEvent.(pipeline.Received)
+	short := received.Event.FinishReason == "length" && w.delivered < w.request.MaxTokens
+	ok := received.Event.Final && !short && received.Event.Index == w.delivered && received.Event.Attempt == w.lastOpen
+	if (f.Err == nil) != ok || f.Result.Tokens != w.delivered {
+		w.t.Fatalf("finish %+v after %+v", f, w.lastEvent)
+	}
+	if f.Err != nil && (f.Err.Outcome == result.NotRun) != (!w.mayHaveRun && w.open == nil) {
+		w.t.Fatalf("outcome %s although run is %t", f.Err.Outcome, w.mayHaveRun)
+	}
+}
