Give up slow KV transfers and slow stages in time

A stage slowed 1e5 times held its session for 20.03s: 15s until the token limit and 5s for an export that never came.

--- a/pkg/pipeline/driver.go
+++ b/pkg/pipeline/driver.go
@@ -94,7 +94,7 @@
 		chain, err := r.planner.Plan(r.ctx, a.Need)
 		return Planned{Chain: chain, Err: err}
 	case Import:
-		return Imported{Errs: r.transfer(a.Transfers)}
+		return Imported{Errs: r.transfer(a)}
 	case Open:
 		return r.open(a)
 	case CloseStream:
@@ -139,14 +139,15 @@
 
 // receive waits for the next event of the stream.
 func (r *run) receive() Event {
-	ctx, cancel := context.WithTimeout(r.ctx, r.driver.limits.Token)
+	limit := r.session.limits.Token
+	ctx, cancel := context.WithTimeout(r.ctx, limit)
 	defer cancel()
 	event, err := r.stream.Next(ctx)
 	if err == nil {
 		return Received{Event: event}
 	}
 	if ctx.Err() != nil && r.ctx.Err() == nil {
-		return Broken{Err: ErrTokenLimit, SilentFor: r.driver.limits.Token}
+		return Broken{Err: ErrTokenLimit, SilentFor: limit}
 	}
 	return r.broken(err)
 }
@@ -176,12 +177,12 @@
 }
 
 // transfer moves the KV caches at once.
-func (r *run) transfer(transfers []Transfer) []error {
-	ctx, cancel := context.WithTimeout(r.ctx, r.driver.limits.Import)
+func (r *run) transfer(a Import) []error {
+	ctx, cancel := context.WithTimeout(r.ctx, a.Limit)
 	defer cancel()
-	errs := make([]error, len(transfers))
-	parallel(len(transfers), func(i int) {
-		t := transfers[i]
+	errs := make([]error, len(a.Transfers))
+	parallel(len(a.Transfers), func(i int) {
+		t := a.Transfers[i]
 		cache, err := t.From.Engine.ExportKV(ctx, r.session.request.Session, t.Positions)
 		if err == nil {
 			err = t.To.Engine.ImportKV(ctx, cache)
--- a/pkg/pipeline/driver_test.go
+++ b/pkg/pipeline/driver_test.go
@@ -150,6 +150,8 @@
 	transfer bool
 	// unreachable are the suspects that do not answer a probe.
 	unreachable []fleet.UpstreamID
+	// triesImport is set when a transfer is begun that turns out slower than a rebuild.
+	triesImport bool
 	// detection is the longest time until a failure shows by itself.
 	detection time.Duration
 }{
@@ -182,6 +184,22 @@
 			b.fault("a2", standin.Faults{Stall: standin.StallAll})
 		}
 	}, suspects: []fleet.UpstreamID{"a2"}, unreachable: []fleet.UpstreamID{"a2"}, attempts: 2, detection: upstream.DefaultSilence + 250*time.Millisecond},
+	{name: "middle is far too slow", during: func(b *bench, n int) {
+		if n == 10 {
+			b.fault("a1", standin.Faults{Slow: 1e5})
+		}
+	}, suspects: []fleet.UpstreamID{"a1"}, attempts: 2, detection: 3 * time.Second, triesImport: true},
+	{name: "head restarts at once", during: func(b *bench, n int) {
+		if n == 10 {
+			b.fault("a0", standin.Faults{Crashed: true})
+			b.fault("a0", standin.Faults{})
+		}
+	}, suspects: []fleet.UpstreamID{"a0"}, attempts: 2},
+	{name: "a stage forgets the session", during: func(b *bench, n int) {
+		if n == 10 {
+			_ = b.engines["a2"].Cancel(context.Background(), "s", 1)
+		}
+	}, attempts: 2},
 	{name: "events come twice", before: func(b *bench) { b.fault("a0", standin.Faults{DoubleEvery: 1}) }, attempts: 1},
 	{name: "events come late", before: func(b *bench) { b.fault("a0", standin.Faults{Late: standin.Duration(700 * time.Millisecond)}) }, attempts: 1},
 	{name: "an event is crossed", before: func(b *bench) { b.fault("a0", standin.Faults{CrossEvery: 8}) },
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -101,8 +101,11 @@
 	Attempts int
 	// Probe is the longest wait for a stage's progress report. Default 250ms.
 	Probe time.Duration
-	// Token is the longest wait for a token while heartbeats come. Default 15s.
+	// Token is the longest wait for a token while heartbeats come. Default 3s, which
+	// leaves urgent work time to be back on target within 5s.
 	Token time.Duration
+	// OvernightToken is the same for overnight work, which engines let wait. Default 30s.
+	OvernightToken time.Duration
 	// Import is the longest time of a KV transfer. Default 5s.
 	Import time.Duration
 	// RetryAfter is what callers are told when a session fails. Default 1s.
@@ -111,21 +114,22 @@
 
 // withDefaults fills the limits that are 0.
 func (l Limits) withDefaults() Limits {
-	defaults := Limits{Attempts: 4, Probe: 250 * time.Millisecond, Token: 15 * time.Second, Import: 5 * time.Second, RetryAfter: time.Second}
-	if l.Attempts == 0 {
-		l.Attempts = defaults.Attempts
-	}
-	for _, field := range []struct {
-		value *time.Duration
-		by    time.Duration
-	}{{&l.Probe, defaults.Probe}, {&l.Token, defaults.Token}, {&l.Import, defaults.Import}, {&l.RetryAfter, defaults.RetryAfter}} {
-		if *field.value == 0 {
-			*field.value = field.by
-		}
-	}
+	setDefault(&l.Attempts, 4)
+	setDefault(&l.Probe, 250*time.Millisecond)
+	setDefault(&l.Token, 3*time.Second)
+	setDefault(&l.OvernightToken, 30*time.Second)
+	setDefault(&l.Import, 5*time.Second)
+	setDefault(&l.RetryAfter, time.Second)
 	return l
 }
 
+// setDefault gives *field the value if it is 0.
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
 // Causes of a failed attempt that the session itself finds.
 var (
 	// ErrGap states that a token event skipped an index.
--- a/pkg/pipeline/recovery.go
+++ b/pkg/pipeline/recovery.go
@@ -15,6 +15,9 @@
 	start     int
 	transfers []Transfer
 	cost      time.Duration
+	// rebuild is the cost of the rebuild; transfers that take longer are given up,
+	// so that a wrong estimate costs at most that much.
+	rebuild time.Duration
 }
 
 // moved returns the number of KV positions that the transfers move.
@@ -31,20 +34,22 @@
 // the slowest transfer plus the prefill of the rest on each stage. Of equal ones the latest
 // start wins, because it runs the least.
 func choose(chain []Stage, touched []*touchedStage, target int) recovery {
-	starts := []int{0}
+	var starts []int
 	for _, t := range touched {
 		if t.positions > 0 {
 			starts = append(starts, min(t.positions, target))
 		}
 	}
 	slices.Sort(starts)
-	var best recovery
-	for i, start := range slices.Compact(starts) {
+	best, _ := price(chain, touched, 0, target)
+	rebuild := best.cost
+	for _, start := range slices.Compact(starts) {
 		option, possible := price(chain, touched, start, target)
-		if i == 0 || possible && option.cost <= best.cost {
+		if possible && option.cost <= best.cost {
 			best = option
 		}
 	}
+	best.rebuild = rebuild
 	return best
 }
 
--- a/pkg/pipeline/session.go
+++ b/pkg/pipeline/session.go
@@ -64,8 +64,11 @@
 type (
 	// AskPlan asks the planner for a chain.
 	AskPlan struct{ Need Need }
-	// Import moves KV caches between engines.
-	Import struct{ Transfers []Transfer }
+	// Import moves KV caches between engines within the limit.
+	Import struct {
+		Transfers []Transfer
+		Limit     time.Duration
+	}
 	// Open opens the attempt's stream on the head.
 	Open struct {
 		Head    Stage
@@ -170,7 +173,11 @@
 
 // NewSession returns a session that has not begun.
 func NewSession(request Request, limits Limits) *Session {
-	return &Session{request: request, limits: limits.withDefaults()}
+	limits = limits.withDefaults()
+	if request.Rank == fleet.Overnight {
+		limits.Token = limits.OvernightToken
+	}
+	return &Session{request: request, limits: limits}
 }
 
 // Accepted returns the number of tokens delivered.
@@ -317,7 +324,11 @@
 		return
 	}
 	s.phase = importing
-	s.do(Import{Transfers: s.plan.transfers})
+	limit := s.limits.Import
+	if s.plan.rebuild > 0 {
+		limit = min(limit, s.plan.rebuild)
+	}
+	s.do(Import{Transfers: s.plan.transfers, Limit: limit})
 }
 
 // imported opens the attempt, or chooses again without the failed transfers.
