--- a/pkg/pipeline/driver_test.go
+++ b/pkg/pipeline/driver_test.go
@@ -280,6 +280,10 @@
 			b.refusing = true
 			b.fault("a1", standin.Faults{CrashAtPosition: at(promptLen + 4)})
 		}, result.StreamBroken, result.Ran},
+		{"every head cuts every stream", func(b *bench) {
+			b.fault("a0", standin.Faults{CutAfter: 1})
+			b.fault("b0", standin.Faults{CutAfter: 1})
+		}, result.StreamBroken, result.Ran},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -287,9 +291,10 @@
 				b := newBench(50 * time.Microsecond)
 				defer b.close()
 				test.prepare(b)
-				_, err := b.run(t.Context(), "s")
+				got, err := b.run(t.Context(), "s")
 				var failure *result.Error
 				is.True(errors.As(err, &failure))
+				is.True(got.Attempts <= 4)
 				is.Equal(failure.Code, test.code)
 				is.Equal(failure.Outcome, test.outcome)
 				is.True(failure.RetryAfter > 0)
--- a/pkg/pipeline/recovery_test.go
+++ b/pkg/pipeline/recovery_test.go
@@ -106,11 +106,14 @@
 func TestCheaperOfImportAndRebuild(t *testing.T) {
 	for _, perPosition := range []time.Duration{50 * time.Microsecond, 250 * time.Microsecond, 400 * time.Microsecond, 5 * time.Millisecond} {
 		is := is.New(t)
+		// 73 positions move, or the two stages left run 10 and the new one 74 again; either way 1 runs in any case.
+		imports := 73*perPosition < (2*(10-1)+(74-1))*stepTime/16
 		chosen, last := recoverFromStall(t, perPosition, perPosition)
 		imported, _ := recoverFromStall(t, perPosition, time.Nanosecond)
 		rebuilt, _ := recoverFromStall(t, perPosition, time.Hour)
 		t.Logf("transfer %v a position: chosen %v (recomputed %d, imported %d), import %v, rebuild %v",
 			perPosition, chosen, last.Recomputed, last.Imported, imported, rebuilt)
+		is.Equal(last.Imported > 0, imports)
 		is.Equal(chosen, min(imported, rebuilt))
 	}
 }
@@ -149,25 +152,28 @@
 	})
 }
 
-// TestDeadlineEndsStalledSession guards against a request that is held beyond its deadline.
+// TestDeadlineEndsStalledSession guards against a request that is held beyond
+// its deadline, while it waits for the stream or for the probes.
 func TestDeadlineEndsStalledSession(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		b := newBench(50 * time.Microsecond)
-		defer b.close()
-		for id := range b.engines {
-			b.fault(string(id), standin.Faults{Stall: standin.StallAll})
-		}
-		ctx, cancel := context.WithTimeout(t.Context(), 1400*time.Millisecond)
-		defer cancel()
-		start := time.Now()
-		_, err := b.run(ctx, "s")
-		var failure *result.Error
-		is.True(errors.As(err, &failure))
-		is.Equal(failure.Code, result.DeadlineExceeded)
-		is.Equal(failure.Outcome, result.OutcomeUnknown)
-		is.Equal(time.Since(start), 1400*time.Millisecond)
-	})
+	for _, deadline := range []time.Duration{1400 * time.Millisecond, 2100 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(50 * time.Microsecond)
+			defer b.close()
+			for id := range b.engines {
+				b.fault(string(id), standin.Faults{Stall: standin.StallAll})
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			start := time.Now()
+			_, err := b.run(ctx, "s")
+			var failure *result.Error
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Code, result.DeadlineExceeded)
+			is.Equal(failure.Outcome, result.OutcomeUnknown)
+			is.Equal(time.Since(start), deadline)
+		})
+	}
 }
 
 // tokenSink is the sink of one of several sessions.
--- a/pkg/pipeline/session_test.go
+++ b/pkg/pipeline/session_test.go
@@ -28,6 +28,7 @@
 	need      pipeline.Need
 	open      *pipeline.Open
 	lastOpen  int
+	chain     []upstream.StageRef
 	delivered int
 	// held is what each upstream can have of the KV cache, as last reported or imported.
 	held map[fleet.UpstreamID]int
@@ -149,11 +150,16 @@
 	if w.open != nil || r.Attempt <= w.lastOpen || layer != 6 || r.StartPosition > target || len(r.Tokens) != target+1 {
 		w.t.Fatalf("open %+v after attempt %d, target %d", r, w.lastOpen, target)
 	}
-	w.open, w.lastOpen = &a, r.Attempt
+	w.open, w.lastOpen, w.chain = &a, r.Attempt, r.Chain
 }
 
 func (w *world) probe(stages []pipeline.Stage) pipeline.Event {
 	var reports []pipeline.Report
+	for _, ref := range w.chain {
+		if !slices.ContainsFunc(stages, func(s pipeline.Stage) bool { return s.Ref.Upstream == ref.Upstream }) {
+			w.t.Fatalf("%s of the failed attempt is not probed", ref.Upstream)
+		}
+	}
 	for _, s := range stages {
 		r := pipeline.Report{Upstream: s.Ref.Upstream}
 		if rapid.IntRange(0, 3).Draw(w.t, "answers") == 0 {
@@ -232,3 +238,60 @@
 		w.t.Fatalf("outcome %s although run is %t", f.Err.Outcome, w.mayHaveRun)
 	}
 }
+
+// TestSuspects guards against blame for the wrong stage, and for any stage when
+// a connection alone may be at fault.
+func TestSuspects(t *testing.T) {
+	const target = 4 // a prompt of 4 tokens and 1 accepted token
+	silent, reset := &upstream.SilentError{For: time.Second}, errors.New("reset")
+	type report struct{ attempt, next int }
+	gone := report{-1, 0}
+	for _, test := range []struct {
+		name    string
+		err     *upstream.Error
+		reports [3]report
+		want    []fleet.UpstreamID
+	}{
+		{"named by the stage before", &upstream.Error{Sent: true, FailedStage: "e1", Err: reset}, [3]report{{1, 5}, {1, 4}, {1, 4}}, ids("e1")},
+		{"named and not in the chain", &upstream.Error{Sent: true, FailedStage: "x", Err: reset}, [3]report{{1, 5}, {1, 4}, {1, 4}}, nil},
+		{"connection reset", &upstream.Error{Sent: true, Err: reset}, [3]report{{1, 5}, {1, 4}, {1, 4}}, nil},
+		{"silent, all layers ran", &upstream.Error{Sent: true, Err: silent}, [3]report{{1, 6}, {1, 5}, {1, 5}}, nil},
+		{"silent, stuck in the middle", &upstream.Error{Sent: true, Err: silent}, [3]report{{1, 5}, {1, 4}, {1, 4}}, ids("e1")},
+		{"silent, stuck at the head", &upstream.Error{Sent: true, Err: silent}, [3]report{{1, 4}, {1, 4}, {1, 4}}, ids("e0")},
+		{"silent, the attempt never arrived", &upstream.Error{Sent: true, Err: silent}, [3]report{{0, 4}, {0, 4}, {0, 4}}, nil},
+		{"tail gone", &upstream.Error{Sent: true, Err: silent}, [3]report{{1, 5}, {1, 5}, gone}, ids("e2")},
+		{"two gone", &upstream.Error{Sent: true, FailedStage: "e2", Err: reset}, [3]report{{1, 5}, gone, gone}, ids("e2", "e1")},
+		{"restarted", &upstream.Error{Sent: true, Err: reset}, [3]report{{0, 0}, {1, 4}, {1, 4}}, ids("e0")},
+		{"ended in good order", &upstream.Error{Sent: true, Err: silent}, [3]report{{2, 0}, {2, 0}, {2, 0}}, nil},
+		{"no final event", &upstream.Error{Sent: true, Err: upstream.ErrNoFinal}, [3]report{{1, 5}, {1, 5}, {1, 5}}, ids("e0")},
+		{"refused assignment", &upstream.Error{Sent: true, FailedStage: "e1", Err: &upstream.RefusalError{Refusal: upstream.RefusedAssignment}}, [3]report{{1, 5}, {1, 4}, {1, 4}}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := pipeline.NewSession(pipeline.Request{Session: "s", Layers: 3, Prompt: make([]fleet.Token, target), MaxTokens: 9}, pipeline.Limits{})
+			var chain []pipeline.Stage
+			e := upstream.TokenEvent{Session: "s", Attempt: 1}
+			probed := pipeline.Probed{}
+			for i, r := range test.reports {
+				ref := upstream.StageRef{Upstream: fleet.UpstreamID(fmt.Sprint("e", i)), Layers: fleet.LayerRange{First: i, End: i + 1}}
+				chain = append(chain, pipeline.Stage{Ref: ref})
+				e.Receipts = append(e.Receipts, upstream.Receipt{Upstream: ref.Upstream, Layers: ref.Layers})
+				report := pipeline.Report{Upstream: ref.Upstream, Progress: upstream.SessionProgress{Attempt: r.attempt, NextPosition: r.next}}
+				if r == gone {
+					report.Err = errors.New("refused")
+				}
+				probed.Reports = append(probed.Reports, report)
+			}
+			now := time.Unix(0, 0)
+			for _, event := range []pipeline.Event{pipeline.Begin{}, pipeline.Planned{Chain: chain}, pipeline.Received{Event: e}, pipeline.Broken{Err: test.err}} {
+				s.Step(now, event)
+			}
+			for _, action := range s.Step(now, probed) {
+				if ask, ok := action.(pipeline.AskRetry); ok && !slices.Equal(ask.Blamed, test.want) {
+					t.Errorf("blamed %v instead of %v", ask.Blamed, test.want)
+				}
+			}
+		})
+	}
+}
+
+func ids(ids ...fleet.UpstreamID) []fleet.UpstreamID { return ids }
--- a/pkg/upstream/http_test.go
+++ b/pkg/upstream/http_test.go
@@ -68,6 +68,7 @@
 					is.True(failure == nil)
 					is.Equal(resp.Status, http.StatusOK)
 					service.SetFaults(test.faults)
+					synctest.Wait() // the client has seen the end of its pooled connections
 					_, failure = call(ctx, client, "r-1", key)
 					is.True(failure != nil)
 					is.Equal(failure.Sent, test.sent)
@@ -101,6 +102,40 @@
 	})
 }
 
+// TestEngineCallsAfterSilence guards against a probe over a silent pooled
+// connection, and against polls that try the other silent ones in turn.
+func TestEngineCallsAfterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := standin.NewNetwork()
+		stand := standin.NewEngine(standin.EngineConfig{ID: "e1"}, network.Client())
+		server, err := standin.NewServer(stand, "10.0.0.1:80", network.Listen)
+		is.NoErr(err)
+		defer server.Close()
+		engine := upstream.NewHTTPEngine("e1", "10.0.0.1:80", network.Client())
+		ctx := t.Context()
+		stand.SetFaults(standin.Faults{Stall: standin.StallAll})
+		polls := make(chan error)
+		for range 3 {
+			go func() { _, err := engine.State(ctx); polls <- err }()
+		}
+		synctest.Wait()
+		stand.SetFaults(standin.Faults{})
+		for range 3 {
+			is.NoErr(<-polls)
+		}
+		stand.SetFaults(standin.Faults{SilenceConnections: true})
+		start := time.Now()
+		_, err = engine.Progress(ctx, "s1")
+		is.NoErr(err)
+		is.Equal(time.Since(start), time.Duration(0))
+		_, err = engine.State(ctx)
+		is.True(errors.Is(err, upstream.ErrSilent))
+		_, err = engine.State(ctx)
+		is.NoErr(err)
+	})
+}
+
 // TestBrokenPooledConnectionIsNotRetried guards against net/http, which repeats a
 // POST that carries an Idempotency-Key when a used connection breaks.
 func TestBrokenPooledConnectionIsNotRetried(t *testing.T) {
