--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -31,7 +31,8 @@
 	Fencing string `json:"fencing"`
 	// Slots limits the sequences in one step. Default 8.
 	Slots int `json:"slots"`
-	// Sessions limits the generations that run with this engine as head; more wait by rank. Default Slots.
+	// Sessions limits the generations that run with this engine as head; more wait
+	// by rank. A chain of n stages needs n times Slots to fill every step. Default 4 times Slots.
 	Sessions int `json:"sessions"`
 	// StepPerLayer is the time of one step for each layer. Default 1ms.
 	StepPerLayer Duration `json:"step_per_layer"`
@@ -64,7 +65,7 @@
 func (c EngineConfig) withDefaults() EngineConfig {
 	setDefault(&c.Fencing, FencingEnforced)
 	setDefault(&c.Slots, 8)
-	setDefault(&c.Sessions, c.Slots)
+	setDefault(&c.Sessions, 4*c.Slots)
 	setDefault(&c.StepPerLayer, Duration(time.Millisecond))
 	setDefault(&c.PrefillPerLayer, c.StepPerLayer/16)
 	setDefault(&c.PrefillChunk, 256)
@@ -180,15 +181,15 @@
 	message string
 	// failed names the stage that failed when it isn't the one that reports.
 	failed  fleet.UpstreamID
-	refused bool
+	refusal upstream.Refusal
 }
 
 // Error returns the message.
 func (e *stageError) Error() string { return e.message }
 
 // refuse returns the error of a request that did not run here.
-func refuse(format string, args ...any) *stageError {
-	return &stageError{status: http.StatusConflict, message: fmt.Sprintf(format, args...), refused: true}
+func refuse(reason upstream.Refusal, format string, args ...any) *stageError {
+	return &stageError{status: http.StatusConflict, message: fmt.Sprintf(format, args...), refusal: reason}
 }
 
 // state returns the report, which may be as old as the configured lag.
@@ -220,7 +221,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.config.Fencing == FencingEnforced && o.Epoch < e.epoch {
-		return refuse("epoch %d is older than %d", o.Epoch, e.epoch)
+		return refuse(upstream.RefusedOrder, "epoch %d is older than %d", o.Epoch, e.epoch)
 	}
 	e.epoch = max(e.epoch, o.Epoch)
 	if sameAssignment(e.assignment, o.Wanted) {
@@ -320,7 +321,7 @@
 	s := e.sessions[req.Session]
 	if s == nil || e.positions(s) < req.Positions || e.loading {
 		e.mu.Unlock()
-		return upstream.KVCache{}, refuse("session %s has no KV cache of %d positions", req.Session, req.Positions)
+		return upstream.KVCache{}, refuse(upstream.RefusedPosition, "session %s has no KV cache of %d positions", req.Session, req.Positions)
 	}
 	cache := upstream.KVCache{
 		Session: req.Session, Model: e.assignment.Model, Version: e.assignment.Version,
@@ -347,10 +348,10 @@
 	defer e.mu.Unlock()
 	a := e.assignment
 	if e.loading || cache.Model != a.Model || cache.Version != a.Version || cache.Layers != a.Layers {
-		return refuse("KV cache of %s %s layers %s does not fit", cache.Model, cache.Version, cache.Layers)
+		return refuse(upstream.RefusedAssignment, "KV cache of %s %s layers %s does not fit", cache.Model, cache.Version, cache.Layers)
 	}
 	if len(digests) != cache.Positions*a.Layers.Len() {
-		return refuse("KV cache of %d positions has %d digests", cache.Positions, len(digests))
+		return refuse(upstream.RefusedOther, "KV cache of %d positions has %d digests", cache.Positions, len(digests))
 	}
 	s := e.session(cache.Session)
 	s.interrupt()
