Check histories of confirmations, settings and leases under faults

A claim is checked and queued in one step of the runner, and waiting commands go before a due tick, so that a seed gives the same history every time.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 GO ?= go
 
-.PHONY: all build check fmt test demo
+.PHONY: all build check fmt test demo history model
 
 all: check test
 
@@ -24,3 +24,8 @@
 
 test:
 	$(GO) test ./...
+
+# history runs one seed of the history check in virtual time. The tests run a
+# fixed set of seeds.
+history:
+	$(GO) test -count=1 -v -run 'TestHistory' ./pkg/replica -args -history.seed=$(SEED)
--- a/pkg/replica/runner.go
+++ b/pkg/replica/runner.go
@@ -122,17 +122,28 @@
 	defer close(r.stopped)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	due := time.Now()
+	for ctx.Err() == nil {
+		// A waiting command goes before a tick that is due at the same time, so
+		// that runs in virtual time are reproducible. A tick can't starve: it
+		// follows every command after which it is due.
 		select {
-		case <-ctx.Done():
-			return
 		case f := <-r.commands:
 			r.perform(ctx, f(time.Now()))
-		case <-timer.C:
-			r.perform(ctx, r.replica.Tick(time.Now()))
+		default:
+			select {
+			case <-ctx.Done():
+			case f := <-r.commands:
+				r.perform(ctx, f(time.Now()))
+			case <-timer.C:
+			}
 		}
 		now := time.Now()
-		timer.Reset(r.replica.Wake(now).Sub(now))
+		if !now.Before(due) {
+			r.perform(ctx, r.replica.Tick(now))
+		}
+		due = r.replica.Wake(now)
+		timer.Reset(due.Sub(now))
 	}
 }
 
@@ -303,19 +314,25 @@
 
 var errStopped = errors.New("replica: the runner has ended")
 
-// propose appends a record and waits for its verdict. It returns false for
-// decided when ctx ended first; sent then says whether the record may be on the log.
-func (r *Runner) propose(ctx context.Context, rec record.Record) outcome {
+// propose appends a record and waits for its verdict, unless check, which runs
+// first in the runner's goroutine, refuses. decided is false in the outcome when
+// ctx ended first; sent then says whether the record may be on the log.
+func (r *Runner) propose(ctx context.Context, rec record.Record, check func(now time.Time) bool) outcome {
 	data, err := record.Encode(rec)
 	if err != nil {
 		return outcome{}
 	}
 	answer := make(chan outcome, 1)
-	ok := r.do(ctx, func(now time.Time) []Action {
+	proposed := false
+	r.do(ctx, func(now time.Time) []Action {
+		if check != nil && !check(now) {
+			return nil
+		}
+		proposed = true
 		r.waiters[rec.ID] = answer
 		return r.replica.Propose(rec.ID, data, now)
 	})
-	if !ok {
+	if !proposed {
 		return outcome{}
 	}
 	select {
@@ -357,7 +374,7 @@
 	if err := view.Tree.Check(change); errors.As(err, &invalid) && view.Offset == view.Highest {
 		return 0, settingsError(err)
 	}
-	o := r.propose(ctx, record.Record{ID: r.cfg.NewID(), Kind: record.KindSettings, Settings: &change})
+	o := r.propose(ctx, record.Record{ID: r.cfg.NewID(), Kind: record.KindSettings, Settings: &change}, nil)
 	switch {
 	case o.decided && o.verdict.Valid():
 		return o.verdict.Offset, nil
@@ -386,7 +403,7 @@
 // new epoch and true once the record is read back as valid.
 func (r *Runner) TakeLease(ctx context.Context, resource string, base uint64) (epoch uint64, ok bool, err error) {
 	l := record.Lease{Resource: resource, Holder: r.cfg.VM, Base: base}
-	o := r.propose(ctx, record.Record{ID: r.cfg.NewID(), Kind: record.KindLease, Lease: &l})
+	o := r.propose(ctx, record.Record{ID: r.cfg.NewID(), Kind: record.KindLease, Lease: &l}, nil)
 	if !o.decided {
 		return 0, false, unavailable("the lease record was not read back")
 	}
@@ -414,19 +431,23 @@
 // Claim claims a key and waits until the claim is read back as valid. With an
 // error nothing was sent under this request and nothing may be. The error is a *result.Error.
 func (r *Runner) Claim(ctx context.Context, req ClaimRequest) (Decision, error) {
-	c, refused := r.claimRecord(req, time.Now())
-	if refused != nil {
-		return Decision{}, refused
-	}
-	if d, known, err := r.known(ctx, c); known {
-		return d, err
-	}
-	if !r.View().LogUp {
-		return Decision{}, unavailable("nothing was claimed")
+	key, err := claim.ParseKey(req.Key)
+	if err != nil {
+		return Decision{}, result.New(result.InvalidHeader, result.NotRun, "the idempotency key must be a version 7 UUID").WithCause(err)
 	}
+	c := &record.Claim{Team: req.Team, Route: req.Route, Key: key, BodyHash: req.Body, Holder: r.cfg.VM}
 	id := r.cfg.NewID()
-	o := r.propose(ctx, record.Record{ID: id, Kind: record.KindClaim, Claim: c})
+	refused := unavailable("nothing was claimed")
+	var info claim.Info
+	o := r.propose(ctx, record.Record{ID: id, Kind: record.KindClaim, Claim: c}, func(now time.Time) bool {
+		info, refused = r.lookup(c, now)
+		return refused == nil && info.Status == claim.Free
+	})
 	switch {
+	case refused != nil:
+		return Decision{}, refused
+	case info.Status == claim.Finished:
+		return r.replay(ctx, info.DoneOffset)
 	case !o.decided:
 		return Decision{}, unavailable("the claim was given up before anything was sent")
 	case o.verdict.Valid():
@@ -434,27 +455,24 @@
 	case o.verdict.Reason == Expired:
 		return Decision{}, keyExpired()
 	}
-	if d, known, err := r.known(ctx, c); known {
-		return d, err
-	}
-	return Decision{}, unavailable("the claim's state could not be read")
+	return r.lost(ctx, c)
 }
 
-// claimRecord checks the key and returns the claim record.
-func (r *Runner) claimRecord(req ClaimRequest, now time.Time) (*record.Claim, error) {
-	key, err := claim.ParseKey(req.Key)
-	if err != nil {
-		return nil, result.New(result.InvalidHeader, result.NotRun, "the idempotency key must be a version 7 UUID").WithCause(err)
-	}
-	keyTime, _ := claim.KeyTime(key)
-	if keyTime.After(now.Add(maxKeyAhead)) {
-		return nil, result.New(result.InvalidHeader, result.NotRun, "the idempotency key's time is in the future")
+// lost answers a claim that another one came before.
+func (r *Runner) lost(ctx context.Context, c *record.Claim) (Decision, error) {
+	refused := unavailable("nothing was claimed")
+	var info claim.Info
+	r.do(ctx, func(now time.Time) []Action {
+		info, refused = r.lookup(c, now)
+		return nil
+	})
+	if refused == nil && info.Status == claim.Finished {
+		return r.replay(ctx, info.DoneOffset)
 	}
-	window := r.params().Window
-	if now.Sub(keyTime) > window {
-		return nil, keyExpired()
+	if refused == nil {
+		refused = unavailable("the other claim was forgotten meanwhile")
 	}
-	return &record.Claim{Team: req.Team, Route: req.Route, Key: key, BodyHash: req.Body, Holder: r.cfg.VM}, nil
+	return Decision{}, refused
 }
 
 // keyExpired says unknown, because an earlier call with the key may have run.
@@ -462,39 +480,26 @@
 	return result.New(result.KeyExpired, result.OutcomeUnknown, "the idempotency key is older than claims.window; an earlier call with it may have run")
 }
 
-// params returns the parameters in force.
-func (r *Runner) params() (p Parameters) {
-	r.do(context.Background(), func(time.Time) []Action {
-		p = r.replica.p
-		return nil
-	})
-	return p
-}
-
-// known answers a claim from what the replica already knows. known is false for a free key.
-func (r *Runner) known(ctx context.Context, c *record.Claim) (d Decision, known bool, err error) {
-	var info claim.Info
-	now := time.Now()
-	if !r.do(ctx, func(time.Time) []Action {
-		info = r.replica.Lookup(c)
-		return nil
-	}) {
-		return d, true, unavailable("nothing was claimed")
-	}
-	switch info.Status {
-	case claim.Free:
-		return d, false, nil
-	case claim.Forgotten:
-		return d, true, keyExpired()
-	case claim.Reused:
-		return d, true, result.New(result.KeyReused, result.NotRun, "the idempotency key was used with another body")
-	case claim.Abandoned:
-		return d, true, result.New(result.ClaimAbandoned, result.NotRun, "an earlier call with the key was given up before it was sent; use a new key")
-	case claim.Finished:
-		d, err = r.replay(ctx, info.DoneOffset)
-		return d, true, err
-	}
-	return d, true, r.pendingError(info, now)
+// lookup returns the state of a key, and the error for the caller unless the key
+// is free or its call has finished. It runs in the runner's goroutine.
+func (r *Runner) lookup(c *record.Claim, now time.Time) (claim.Info, *result.Error) {
+	keyTime, _ := claim.KeyTime(c.Key)
+	info := r.replica.Lookup(c)
+	switch {
+	case keyTime.After(now.Add(maxKeyAhead)):
+		return info, result.New(result.InvalidHeader, result.NotRun, "the idempotency key's time is in the future")
+	case now.Sub(keyTime) > r.replica.p.Window, info.Status == claim.Forgotten:
+		return info, keyExpired()
+	case info.Status == claim.Reused:
+		return info, result.New(result.KeyReused, result.NotRun, "the idempotency key was used with another body")
+	case info.Status == claim.Abandoned:
+		return info, result.New(result.ClaimAbandoned, result.NotRun, "an earlier call with the key was given up before it was sent; use a new key")
+	case info.Status == claim.Pending:
+		return info, r.pendingError(info, now)
+	case info.Status == claim.Free && !r.replica.LogUp():
+		return info, unavailable("nothing was claimed")
+	}
+	return info, nil
 }
 
 // pendingError tells apart a claim in progress and one whose holder is gone.
