--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,8 @@
 # fixed set of seeds.
 history:
 	$(GO) test -count=1 -v -run 'TestHistory' ./pkg/replica -args -history.seed=$(SEED)
+
+# model checks the specifications under spec/ and that the checker finds each
+# committed mutation.
+model:
+	spec/run
