Add the policy bench

Cause: policies need figures against baselines in the same run. Change: pkg/bench runs admission, route, retry and outlier over fake engines in virtual time; make bench writes docs/MEASUREMENTS.md and a plot of each rank.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 GO ?= go
 
-.PHONY: all build check fmt test demo
+.PHONY: all build check fmt test demo bench
 
 all: check test
 
@@ -24,3 +24,8 @@
 
 test:
 	$(GO) test ./...
+
+# bench compares the policies with their baselines in virtual time and writes
+# the tables and plots into docs/.
+bench:
+	$(GO) run ./pkg/bench/run --seed $(SEED) --docs docs
--- /dev/null
+++ b/pkg/bench/vm.go
@@ -0,0 +1,124 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/admission"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/outlier"
+	"github.com/cornelline/cornelline/pkg/retry"
+	"github.com/cornelline/cornelline/pkg/route"
+)
+
+// vm is an entry VM: the real decision code with its own view of the engines.
+type vm struct {
+	index    int
+	dc       int
+	down     bool
+	queue    *admission.Queue
+	health   *outlier.Detector
+	budget   *retry.Budget
+	loads    []*route.Load
+	stage    []float64 // last measured step by engine, seconds
+	links    []route.Link
+	plan     route.Policy
+	snapshot *route.Snapshot
+	peers    int // other VMs believed live
+	rng      *rand.Rand
+	actions  []admission.Action
+}
+
+func dcID(i int) fleet.DataCentreID { return fleet.DataCentreID(fmt.Sprint("dc", i)) }
+
+func newVM(s *sim, i int) *vm {
+	v := &vm{
+		index: i, dc: i % dcCount, queue: admission.New(weighted(s)), health: outlier.New(outlier.DefaultConfig()),
+		budget: retry.New(retry.DefaultConfig()), plan: s.policy.routes(), peers: vmCount - 1,
+		rng: rand.New(rand.NewPCG(s.seed, uint64(i)+100)),
+	}
+	var members []outlier.Member
+	for k := range s.engines {
+		e := &s.engines[k]
+		v.loads = append(v.loads, new(route.Load))
+		v.stage = append(v.stage, e.step(0))
+		members = append(members, outlier.Member{ID: e.id, Model: modelID, Layers: e.layers, ModelLayers: modelLayers})
+	}
+	v.health.SetMembers(members)
+	return v
+}
+
+func weighted(s *sim) admission.Config {
+	cfg := s.policy.config()
+	cfg.Weights = make(map[fleet.TeamID]float64)
+	for _, t := range s.teams {
+		cfg.Weights[t.id] = t.weight
+	}
+	return cfg
+}
+
+// pollLag is the age of an engine's report when it arrives.
+const pollLag = 0.5
+
+// poll reads all engines' reports and link times, once a second.
+func (v *vm) poll(s *sim) {
+	now := s.time()
+	for k := range s.engines {
+		e := &s.engines[k]
+		if e.down {
+			v.react(s, v.health.Refused(now, e.id, nil))
+			continue
+		}
+		v.loads[k].Report(now.Add(-duration(pollLag)), s.lagged[k], v.peers)
+		v.stage[k] = e.step(s.lagged[k])
+	}
+	v.react(s, v.health.Tick(now, nil))
+	v.links = s.measuredLinks()
+	v.publish(s)
+	v.budget.Prune(now)
+}
+
+// react answers probes at once and publishes changed health.
+func (v *vm) react(s *sim, actions []outlier.Action) {
+	for len(actions) > 0 {
+		a := actions[0]
+		actions = actions[1:]
+		switch a.Kind {
+		case outlier.Probe:
+			actions = v.health.Probed(s.time(), a.Upstream, !s.engine(a.Upstream).down, actions)
+		case outlier.Eject, outlier.Return:
+			v.publish(s)
+		}
+	}
+}
+
+// publish builds the snapshot and tells the queue this VM's share of the slots.
+func (v *vm) publish(s *sim) {
+	in := route.Input{Self: dcID(v.dc), Links: v.links, Policy: v.plan, Models: []route.Model{{ID: modelID, Layers: modelLayers, Block: 16}}}
+	for k := range s.engines {
+		e := &s.engines[k]
+		in.Engines = append(in.Engines, route.Engine{
+			ID: e.id, DataCentre: dcID(e.dc), Model: modelID, Layers: e.layers, Slots: e.slots,
+			StageTime: duration(v.stage[k]), PrefillPerToken: duration(e.prefill),
+			Ejected: v.health.Ejected(e.id), Weight: v.health.Weight(e.id), Load: v.loads[k],
+		})
+	}
+	v.snapshot = route.Build(in)
+	slots := v.snapshot.Concurrency(modelID) / (v.peers + 1)
+	v.actions = v.queue.SetCapacity(s.time(), admission.Capacity{Model: modelID, Slots: slots}, v.actions[:0])
+	s.apply(v, v.actions)
+}
+
+// pick chooses a chain for a generation.
+func (v *vm) pick(j *job, exclude, prefer []fleet.UpstreamID) ([]route.Stage, error) {
+	req := route.Request{
+		Model: modelID, Rank: j.rank, PromptTokens: int(j.prompt) + j.done,
+		OutputTokens: max(int(classes[j.rank].output)-j.done, 1), Exclude: exclude, Prefer: prefer,
+	}
+	return route.PickChain(v.snapshot, &req, v.rng)
+}
+
+func (s *sim) time() time.Time { return start.Add(duration(s.now)) }
+
+var start = time.Date(2030, 1, 1, 21, 0, 0, 0, time.UTC)
--- a/pkg/route/snapshot.go
+++ b/pkg/route/snapshot.go
@@ -195,6 +195,29 @@
 // link returns the seconds from one data centre to another.
 func (s *Snapshot) link(from, to int) float64 { return s.links[from*len(s.dcs)+to] }
 
+// Concurrency returns how many generations of a model the usable engines can run
+// at once: the least sum of batch slots over all layers. Returning engines count
+// with their weight.
+func (s *Snapshot) Concurrency(id fleet.ModelID) int {
+	m := s.models[id]
+	if m == nil || m.Layers == 0 {
+		return 0
+	}
+	slots := make([]float64, m.Layers)
+	for _, g := range m.groups {
+		for _, i := range g.engines {
+			e := &s.engines[i]
+			if e.Loading || e.Leaving || e.Ejected || e.Quarantined {
+				continue
+			}
+			for l := g.layers.First; l < g.layers.End; l++ {
+				slots[l] += float64(e.Slots) * e.Weight
+			}
+		}
+	}
+	return int(slices.Min(slots))
+}
+
 // Engines returns the engines. Callers must not change them.
 func (s *Snapshot) Engines() []Engine { return s.engines }
 
