admission: let a rank save credit for its next request

Cause: in an urgent flood the overnight rank kept 16% of its share: its credit was capped below the cost of one of its requests, so it was never owed one. Change: the cap is at least 1.5 times the cost of the rank's next request.

--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -179,16 +179,18 @@
 func (p *pipeline) account(cfg *Config, e *entry, overnightShare float64) {
 	cost := e.req.Cost
 	for r := range p.credit {
+		head := p.ranks[r].head()
 		share := cfg.Shares[r]
 		if fleet.Rank(r) == fleet.Overnight {
 			share = overnightShare
 		}
-		if p.ranks[r].queued == 0 {
+		if head == nil {
 			p.credit[r] = min(p.credit[r], 0) // an idle rank accrues no credit
 			continue
 		}
-		// One second of the share bounds how long a rank may be favoured later.
-		p.credit[r] = min(p.credit[r]+share*cost, max(share*p.rate(), 2*cost))
+		// One second of the share bounds how long a rank may be favoured later,
+		// but a rank of large requests must be able to save for its next one.
+		p.credit[r] = min(p.credit[r]+share*cost, max(share*p.rate(), 1.5*head.req.Cost))
 	}
 	r := e.req.Rank
 	p.credit[r] = max(p.credit[r]-cost, -2*cost)
--- a/pkg/bench/run/main.go
+++ b/pkg/bench/run/main.go
@@ -15,6 +15,7 @@
 type options struct {
 	Seed    uint64 `long:"seed" default:"1" description:"seed of all random sources"`
 	Match   string `long:"match" description:"run only scenarios whose deployment and name contain this"`
+	Policy  string `long:"policy" description:"run only policies whose name contains this"`
 	Workers int    `long:"workers" default:"3" description:"runs at a time"`
 	Docs    string `long:"docs" description:"directory of the measurements page and plots; empty writes nothing"`
 }
@@ -25,7 +26,7 @@
 		os.Exit(2)
 	}
 	began := time.Now()
-	results := bench.Run(o.Seed, o.Match, o.Workers)
+	results := bench.Run(o.Seed, o.Match, o.Policy, o.Workers)
 	fmt.Println(bench.Table(results))
 	fmt.Fprintf(os.Stderr, "%d runs in %v\n", len(results), time.Since(began).Round(time.Second))
 	if o.Docs == "" {
--- a/pkg/bench/table.go
+++ b/pkg/bench/table.go
@@ -16,8 +16,9 @@
 	m                            *metrics
 }
 
-// Run runs all policies in all scenarios whose name contains match, workers at a time.
-func Run(seed uint64, match string, workers int) []Result {
+// Run runs the policies whose names contain only in the scenarios whose
+// deployment and name contain match, workers at a time.
+func Run(seed uint64, match, only string, workers int) []Result {
 	var results []Result
 	var sims []*sim
 	for _, d := range deployments() {
@@ -26,6 +27,9 @@
 				continue
 			}
 			for _, p := range policies() {
+				if !strings.Contains(p.name, only) {
+					continue
+				}
 				results = append(results, Result{deployment: d.name, scenario: sc.name, policy: p.name, teams: d.teams})
 				sims = append(sims, newSim(d, sc, p, seed))
 			}
