admission: keep slots by mean use, allow teams a bounded burst, expire every lane

Cause: slots kept for the recent peak of urgent work left a sixth of the capacity idle in an overnight flood; a small team within its share was refused its second request of a few seconds; expired requests of teams that were not next were held. Change: the reserve is the mean use plus half its square root; a team may lag by 5 s of its share, idle or not; each tick refuses expired heads of all lanes.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -45,6 +45,10 @@
 	Shares [fleet.RankCount]float64
 	// Weights are the teams' weights within a rank. A team that is not listed has weight 1.
 	Weights map[fleet.TeamID]float64
+	// TeamBurst is how much of its share, in seconds, any team may use at once. It
+	// lets a team within its share send a few requests together. It is the same
+	// for a team that was idle for a second or a day: idle teams accrue no credit.
+	TeamBurst time.Duration
 	// MaxWait bounds the time in the queue; 0 means that only the deadline bounds it.
 	MaxWait [fleet.RankCount]time.Duration
 	// MaxQueued bounds the queued requests of a rank and model.
@@ -52,8 +56,9 @@
 	// Depth is how many requests beyond the slots may be in flight for urgent
 	// work and for ranks below their guaranteed share.
 	Depth int
-	// Headroom is the fraction of the slots kept free for urgent arrivals while
-	// urgent work has recently been seen.
+	// Headroom sets the slots kept for urgent and lookup arrivals against other
+	// ranks: the recent mean use plus Headroom times its square root, which is
+	// the deviation of Poisson arrivals.
 	Headroom float64
 	// SlotRate is the cost units per second of one slot, assumed before any request finished.
 	SlotRate float64
@@ -67,9 +72,10 @@
 		Shares: [fleet.RankCount]float64{0.5, 0.2, 0.1},
 		// The urgent target is 1.4 s to the first token; the rest is left for the prefill.
 		MaxWait:   [fleet.RankCount]time.Duration{700 * time.Millisecond, 500 * time.Millisecond, 0},
+		TeamBurst: 5 * time.Second,
 		MaxQueued: [fleet.RankCount]int{10_000, 10_000, 200_000},
 		Depth:     2,
-		Headroom:  0.05,
+		Headroom:  0.5,
 		SlotRate:  20,
 		Safety:    1.25,
 	}
--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -10,8 +10,8 @@
 // rateHalfLife is how fast measured rates follow a change.
 const rateHalfLife = 5 * time.Second
 
-// peakHalfLife is how fast the slots kept for a rank are given up after its demand fell.
-const peakHalfLife = 30 * time.Second
+// levelHalfLife is how fast the slots kept for a rank follow its demand.
+const levelHalfLife = 10 * time.Second
 
 // pipeline is the queue and the in-flight account of one model.
 type pipeline struct {
@@ -22,8 +22,8 @@
 	total    int
 	// credit is the cost owed to a backlogged rank under its guaranteed share.
 	credit [fleet.RankCount]float64
-	// peak is the recent maximum of slots in use by a rank.
-	peak [fleet.RankCount]float64
+	// level is the recent mean of the slots that a rank used or waited for.
+	level [fleet.RankCount]float64
 	// used is the recent started cost of a rank, decaying by rateHalfLife.
 	used [fleet.RankCount]float64
 	// doneCost and doneTime are decaying sums over finished requests.
@@ -47,10 +47,11 @@
 		return
 	}
 	p.decayedAt = now
-	peak := math.Exp2(-float64(dt) / float64(peakHalfLife))
+	level := math.Exp2(-float64(dt) / float64(levelHalfLife))
 	rate := math.Exp2(-float64(dt) / float64(rateHalfLife))
-	for r := range p.peak {
-		p.peak[r] = max(p.peak[r]*peak, float64(p.inFlight[r]))
+	for r := range p.level {
+		wanted := float64(p.inFlight[r] + p.ranks[r].queued)
+		p.level[r] = p.level[r]*level + wanted*(1-level)
 		p.used[r] *= rate
 	}
 	// A floor keeps the last measured rate while nothing finishes.
@@ -98,10 +99,10 @@
 
 // reserve returns the slots kept for rank r against other ranks.
 func (p *pipeline) reserve(cfg *Config, r fleet.Rank) int {
-	if r == fleet.Overnight || p.peak[r] < 0.01 {
+	if r == fleet.Overnight || p.level[r] < 0.01 {
 		return 0
 	}
-	want := p.peak[r] + math.Max(1, cfg.Headroom*float64(p.slots))
+	want := p.level[r] + cfg.Headroom*math.Sqrt(p.level[r])
 	return int(min(want, cfg.Shares[r]*float64(p.slots)))
 }
 
@@ -197,5 +198,4 @@
 	p.used[r] += cost
 	p.inFlight[r]++
 	p.total++
-	p.peak[r] = max(p.peak[r], float64(p.inFlight[r]))
 }
--- a/pkg/admission/predict.go
+++ b/pkg/admission/predict.go
@@ -30,8 +30,9 @@
 }
 
 // wait predicts the queueing time of a request behind ahead cost units of its
-// own team. Under fair queueing a team is never served later than if all queued
-// work came first, nor later than its own backlog at its weighted rate.
+// own team: the least of the time for all queued work and of the time for the
+// team's backlog at its weighted rate. What the team's counter lags behind the
+// floor is served first; what it leads is served after the others caught up.
 func (p *pipeline) wait(cfg *Config, r fleet.Rank, t *team, ahead float64) time.Duration {
 	rate := p.rankRate(cfg, r)
 	if rate <= 0 {
@@ -39,13 +40,21 @@
 	}
 	q := &p.ranks[r]
 	weight := q.weight
+	counter := t.counter
 	if t.queued == 0 {
 		weight += t.weight
+		counter = max(counter, q.floor-q.burst)
 	}
-	own := ahead / (rate * t.weight / weight)
+	own := max(0, ahead+(counter-q.floor)*t.weight) / (rate * t.weight / weight)
 	return seconds(min(q.work/rate, own))
 }
 
+// setBurst derives how far a team may lag from TeamBurst and the rank's rate.
+func (p *pipeline) setBurst(cfg *Config, r fleet.Rank, allWeights float64) {
+	q := &p.ranks[r]
+	q.burst = cfg.TeamBurst.Seconds() * p.rankRate(cfg, r) / max(allWeights, q.weight, 1)
+}
+
 // overnightFits reports whether the guaranteed share finishes cost more units by
 // the deadline bucket end without making any accepted work late, and how much
 // too much there is, in cost units.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -99,6 +99,9 @@
 	p := q.pipe(now, req.Model)
 	p.decay(now)
 	req.Cost = max(req.Cost, 1)
+	if q.cfg.Order == Fair {
+		p.setBurst(&q.cfg, req.Rank, q.allWeights)
+	}
 	if req.Rank == fleet.Overnight && req.Deadline.IsZero() && q.cfg.Order == Fair {
 		req.Deadline = now.Add(defaultNight)
 	}
@@ -176,6 +179,7 @@
 // what may start. It is called at least every 100 ms.
 func (q *Queue) Tick(now time.Time, out []Action) []Action {
 	for _, m := range q.order {
+		out = q.expireLanes(q.pipes[m], now, out)
 		out = q.advance(q.pipes[m], now, out)
 	}
 	if now.Sub(q.prunedAt) >= pruneInterval {
@@ -219,6 +223,23 @@
 	return q.drain(p, now, out)
 }
 
+// expireLanes refuses urgent and lookup requests that were not started in time,
+// also those of teams that are not next.
+func (q *Queue) expireLanes(p *pipeline, now time.Time, out []Action) []Action {
+	for _, r := range [...]fleet.Rank{fleet.Urgent, fleet.Lookup} {
+		rq := &p.ranks[r]
+		if q.cfg.Order != Fair || rq.queued == 0 {
+			continue
+		}
+		for _, l := range slices.Clone(rq.buckets[0].heap) {
+			for len(l.entries) > 0 && q.expired(l.entries[0], now) {
+				out = q.refuse(p, l.entries[0], now, p.wait(&q.cfg, r, l.team, l.team.work), out)
+			}
+		}
+	}
+	return out
+}
+
 // drain refuses expired heads and starts requests while the limits allow.
 func (q *Queue) drain(p *pipeline, now time.Time, out []Action) []Action {
 	for r := range p.ranks {
--- a/pkg/admission/rankqueue.go
+++ b/pkg/admission/rankqueue.go
@@ -23,13 +23,14 @@
 	work    float64 // queued cost
 	weight  float64 // sum of the weights of teams with queued requests
 	floor   float64 // highest counter at which a team was served
+	burst   float64 // how far below the floor a team may re-enter
 }
 
-// teamOf returns the team's counter, creating it at the floor.
+// teamOf returns the team's counter, creating it at the floor less the burst.
 func (q *rankQueue) teamOf(id fleet.TeamID, weight float64) *team {
 	t := q.teams[id]
 	if t == nil {
-		t = &team{id: id, weight: weight, counter: q.floor}
+		t = &team{id: id, weight: weight, counter: q.floor - q.burst}
 		q.teams[id] = t
 	}
 	return t
@@ -54,8 +55,8 @@
 	t := e.team
 	if t.queued == 0 {
 		q.weight += t.weight
-		// An idle team accrues no credit: it re-enters at the floor.
-		t.counter = max(t.counter, q.floor)
+		// An idle team accrues no credit: it re-enters at the floor less the burst.
+		t.counter = max(t.counter, q.floor-q.burst)
 	}
 	l := b.lanes[t.id]
 	if l == nil {
