admission: let urgent and lookup work within their share use the extra depth

Cause: with all slots taken by overnight requests of 13 s an urgent arrival waited for one of them to end; lookups kept 77% of their load in an urgent flood. Change: urgent (share plus what no rank is guaranteed) and lookup below their share may use a depth of a fifth of the slots and the slots kept for others.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -53,9 +53,9 @@
 	MaxWait [fleet.RankCount]time.Duration
 	// MaxQueued bounds the queued requests of a rank and model.
 	MaxQueued [fleet.RankCount]int
-	// Depth is how many requests beyond the slots may be in flight for urgent
-	// work and for ranks below their guaranteed share.
-	Depth int
+	// Depth is how many requests beyond the slots, as a fraction of them, may be in
+	// flight for ranks below their guaranteed share.
+	Depth float64
 	// Headroom sets the slots kept for urgent and lookup arrivals against other
 	// ranks: the recent mean use plus Headroom times its square root, which is
 	// the deviation of Poisson arrivals.
@@ -74,7 +74,7 @@
 		MaxWait:   [fleet.RankCount]time.Duration{700 * time.Millisecond, 500 * time.Millisecond, 0},
 		TeamBurst: 5 * time.Second,
 		MaxQueued: [fleet.RankCount]int{10_000, 10_000, 200_000},
-		Depth:     2,
+		Depth:     0.2,
 		Headroom:  0.5,
 		SlotRate:  20,
 		Safety:    1.25,
--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -97,30 +97,36 @@
 	return max(left, cfg.Shares[r]*total)
 }
 
+// entitled returns the fraction of the capacity that rank r gets while all ranks
+// are backlogged: its share, and for urgent also what no rank is guaranteed.
+func (c *Config) entitled(r fleet.Rank) float64 {
+	share := c.Shares[r]
+	if r == fleet.Urgent {
+		share = 1 - c.Shares[fleet.Lookup] - c.Shares[fleet.Overnight]
+	}
+	return share
+}
+
 // reserve returns the slots kept for rank r against other ranks.
 func (p *pipeline) reserve(cfg *Config, r fleet.Rank) int {
 	if r == fleet.Overnight || p.level[r] < 0.01 {
 		return 0
 	}
 	want := p.level[r] + cfg.Headroom*math.Sqrt(p.level[r])
-	return int(min(want, cfg.Shares[r]*float64(p.slots)))
+	return int(min(want, cfg.entitled(r)*float64(p.slots)))
 }
 
 // allowed reports whether rank r may start another request. A rank that is owed
-// its guaranteed share may use the extra depth and other ranks' reserves.
+// its guaranteed share, and urgent and lookup work within theirs, may use the
+// extra depth and other ranks' reserves: its wait would otherwise depend on how
+// long the requests of other ranks run.
 func (p *pipeline) allowed(cfg *Config, r fleet.Rank, owed bool) bool {
 	if p.slots <= 0 {
 		return false
 	}
-	limit := p.slots
-	if r == fleet.Urgent || owed {
-		limit += cfg.Depth
-	}
-	if p.total >= limit {
-		return false
-	}
-	if owed {
-		return true
+	within := r != fleet.Overnight && float64(p.inFlight[r]+1) <= cfg.entitled(r)*float64(p.slots)
+	if owed || within {
+		return float64(p.total+1) <= float64(p.slots)*(1+cfg.Depth)
 	}
 	kept := 0
 	for k := range fleet.Rank(fleet.RankCount) {
@@ -128,7 +134,7 @@
 			kept += max(0, p.reserve(cfg, k)-p.inFlight[k])
 		}
 	}
-	return p.total+kept < limit
+	return p.total+kept < p.slots
 }
 
 // next returns the entry to start now, nil when none may start.
