admission: same burst for every team, longer urgent wait within the target

Cause: with bursts in proportion to the weight the large teams displaced small ones for the first seconds of a flood; a wait of 0.7 s refused requests that could still reach 1.4 s to the first token; urgent was held to 70% of the slots also when lookups left theirs idle; a pipeline of 4 slots had no extra depth (TestUrgentOvertakes). Change: the burst is that of a team of weight 1 for all; urgent waits up to 0.9 s; urgent is entitled to what lookups leave of their share; near-equal is 5%; the depth is at least one request.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -45,9 +45,10 @@
 	Shares [fleet.RankCount]float64
 	// Weights are the teams' weights within a rank. A team that is not listed has weight 1.
 	Weights map[fleet.TeamID]float64
-	// TeamBurst is how much of its share, in seconds, any team may use at once. It
-	// lets a team within its share send a few requests together. It is the same
-	// for a team that was idle for a second or a day: idle teams accrue no credit.
+	// TeamBurst is the burst that every team may use at once, in seconds of the
+	// share of a team of weight 1. It lets a small team within its share send a
+	// few requests together. It is the same for a team that was idle for a second
+	// or a day, and for a large team: idle teams accrue no credit.
 	TeamBurst time.Duration
 	// MaxWait bounds the time in the queue; 0 means that only the deadline bounds it.
 	MaxWait [fleet.RankCount]time.Duration
@@ -71,8 +72,8 @@
 	return Config{
 		Shares: [fleet.RankCount]float64{0.5, 0.2, 0.1},
 		// The urgent target is 1.4 s to the first token; the rest is left for the prefill.
-		MaxWait:   [fleet.RankCount]time.Duration{700 * time.Millisecond, 500 * time.Millisecond, 0},
-		TeamBurst: 5 * time.Second,
+		MaxWait:   [fleet.RankCount]time.Duration{900 * time.Millisecond, 500 * time.Millisecond, 0},
+		TeamBurst: 10 * time.Second,
 		MaxQueued: [fleet.RankCount]int{10_000, 10_000, 200_000},
 		Depth:     0.2,
 		Headroom:  0.5,
--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -97,14 +97,20 @@
 	return max(left, cfg.Shares[r]*total)
 }
 
-// entitled returns the fraction of the capacity that rank r gets while all ranks
-// are backlogged: its share, and for urgent also what no rank is guaranteed.
-func (c *Config) entitled(r fleet.Rank) float64 {
-	share := c.Shares[r]
-	if r == fleet.Urgent {
-		share = 1 - c.Shares[fleet.Lookup] - c.Shares[fleet.Overnight]
-	}
-	return share
+// entitled returns the fraction of the slots that rank r may use before others
+// come first: its share, and for urgent all that is neither guaranteed to
+// overnight work nor lately used by lookups within their share.
+func (p *pipeline) entitled(cfg *Config, r fleet.Rank) float64 {
+	if r != fleet.Urgent {
+		return cfg.Shares[r]
+	}
+	lookups := p.wanted(cfg, fleet.Lookup) / float64(max(p.slots, 1))
+	return 1 - cfg.Shares[fleet.Overnight] - min(cfg.Shares[fleet.Lookup], lookups)
+}
+
+// wanted returns the slots that rank r needs for its recent use and its variation.
+func (p *pipeline) wanted(cfg *Config, r fleet.Rank) float64 {
+	return p.level[r] + cfg.Headroom*math.Sqrt(p.level[r])
 }
 
 // reserve returns the slots kept for rank r against other ranks.
@@ -112,8 +118,7 @@
 	if r == fleet.Overnight || p.level[r] < 0.01 {
 		return 0
 	}
-	want := p.level[r] + cfg.Headroom*math.Sqrt(p.level[r])
-	return int(min(want, cfg.entitled(r)*float64(p.slots)))
+	return int(min(p.wanted(cfg, r), p.entitled(cfg, r)*float64(p.slots)))
 }
 
 // allowed reports whether rank r may start another request. A rank that is owed
@@ -124,9 +129,10 @@
 	if p.slots <= 0 {
 		return false
 	}
-	within := r != fleet.Overnight && float64(p.inFlight[r]+1) <= cfg.entitled(r)*float64(p.slots)
+	within := r != fleet.Overnight && float64(p.inFlight[r]+1) <= p.entitled(cfg, r)*float64(p.slots)
 	if owed || within {
-		return float64(p.total+1) <= float64(p.slots)*(1+cfg.Depth)
+		// At least one, so that a pipeline of few slots also lets them overtake.
+		return p.total < p.slots+max(1, int(cfg.Depth*float64(p.slots)))
 	}
 	kept := 0
 	for k := range fleet.Rank(fleet.RankCount) {
--- a/pkg/admission/predict.go
+++ b/pkg/admission/predict.go
@@ -43,13 +43,13 @@
 	counter := t.counter
 	if t.queued == 0 {
 		weight += t.weight
-		counter = max(counter, q.floor-q.burst)
+		counter = max(counter, q.floor-q.burst/t.weight)
 	}
 	own := max(0, ahead+(counter-q.floor)*t.weight) / (rate * t.weight / weight)
 	return seconds(min(q.work/rate, own))
 }
 
-// setBurst derives how far a team may lag from TeamBurst and the rank's rate.
+// setBurst derives the burst of a team from TeamBurst and the rank's rate.
 func (p *pipeline) setBurst(cfg *Config, r fleet.Rank, allWeights float64) {
 	q := &p.ranks[r]
 	q.burst = cfg.TeamBurst.Seconds() * p.rankRate(cfg, r) / max(allWeights, q.weight, 1)
--- a/pkg/admission/rankqueue.go
+++ b/pkg/admission/rankqueue.go
@@ -23,14 +23,14 @@
 	work    float64 // queued cost
 	weight  float64 // sum of the weights of teams with queued requests
 	floor   float64 // highest counter at which a team was served
-	burst   float64 // how far below the floor a team may re-enter
+	burst   float64 // cost by which a team may re-enter below the floor
 }
 
 // teamOf returns the team's counter, creating it at the floor less the burst.
 func (q *rankQueue) teamOf(id fleet.TeamID, weight float64) *team {
 	t := q.teams[id]
 	if t == nil {
-		t = &team{id: id, weight: weight, counter: q.floor - q.burst}
+		t = &team{id: id, weight: weight, counter: q.floor - q.burst/weight}
 		q.teams[id] = t
 	}
 	return t
@@ -56,7 +56,7 @@
 	if t.queued == 0 {
 		q.weight += t.weight
 		// An idle team accrues no credit: it re-enters at the floor less the burst.
-		t.counter = max(t.counter, q.floor-q.burst)
+		t.counter = max(t.counter, q.floor-q.burst/t.weight)
 	}
 	l := b.lanes[t.id]
 	if l == nil {
--- a/pkg/route/plugin.go
+++ b/pkg/route/plugin.go
@@ -199,7 +199,7 @@
 }
 
 // defaultNear is the cost difference up to which two ways count as near-equal.
-const defaultNear = 0.1
+const defaultNear = 0.05
 
 // Pickers returns a new picker by name, nil for an unknown name.
 func Pickers(name string) Picker {
