route: score the marginal time of a stage, not its loaded time twice

Cause: the score multiplied a step time measured under load by one plus the load again, and let ways within 5% (a whole stage) count as equal. Change: the step time is divided by one plus the load at which it was measured; the queue score is the request's slowdown and that of the others; near-equal is 2%.

--- a/pkg/bench/vm.go
+++ b/pkg/bench/vm.go
@@ -22,6 +22,7 @@
 	budget   *retry.Budget
 	loads    []*route.Load
 	stage    []float64 // last measured step by engine, seconds
+	measured []float64 // relative load at that measure
 	links    []route.Link
 	plan     route.Policy
 	snapshot *route.Snapshot
@@ -43,6 +44,7 @@
 		e := &s.engines[k]
 		v.loads = append(v.loads, new(route.Load))
 		v.stage = append(v.stage, e.step(0))
+		v.measured = append(v.measured, 0)
 		members = append(members, outlier.Member{ID: e.id, Model: modelID, Layers: e.layers, ModelLayers: modelLayers})
 	}
 	v.health.SetMembers(members)
@@ -72,6 +74,7 @@
 		}
 		v.loads[k].Report(now.Add(-duration(pollLag)), s.lagged[k], v.peers)
 		v.stage[k] = e.step(s.lagged[k])
+		v.measured[k] = min(1, float64(s.lagged[k])/float64(e.slots))
 	}
 	v.react(s, v.health.Tick(now, nil))
 	v.links = s.measuredLinks()
@@ -100,7 +103,7 @@
 		e := &s.engines[k]
 		in.Engines = append(in.Engines, route.Engine{
 			ID: e.id, DataCentre: dcID(e.dc), Model: modelID, Layers: e.layers, Slots: e.slots,
-			StageTime: duration(v.stage[k]), PrefillPerToken: duration(e.prefill),
+			StageTime: duration(v.stage[k]), MeasuredLoad: v.measured[k], PrefillPerToken: duration(e.prefill),
 			Ejected: v.health.Ejected(e.id), Weight: v.health.Weight(e.id), Load: v.loads[k],
 		})
 	}
--- a/pkg/route/plugin.go
+++ b/pkg/route/plugin.go
@@ -83,9 +83,9 @@
 	// affinityLoadBound is the relative load above which a cached prefix no
 	// longer attracts requests: cached engines would otherwise become hot spots.
 	affinityLoadBound = 0.9
-	// queuePenalty is the seconds a request waits per batch of others ahead of it
-	// when the engine's slots are taken.
-	queuePenalty = 2.0
+	// queuePenalty is the seconds by which each step grows per batch of others
+	// ahead when the engine's slots are taken.
+	queuePenalty = 0.05
 )
 
 // Scorers are the scorers by name.
@@ -98,14 +98,15 @@
 
 // scoreStageTime counts the decode steps of the stage at its measured speed.
 func scoreStageTime(_ *Model, e *Engine, r *Request) float64 {
-	return e.StageTime.Seconds() * float64(max(r.OutputTokens, 1)) / e.Weight
+	return e.baseTime() * float64(max(r.OutputTokens, 1)) / e.Weight
 }
 
-// scoreQueue counts the slowdown by a full batch and the wait for a slot.
+// scoreQueue counts the slowdown by the generations on the engine, that of the
+// request and that which it causes to them, and the wait for a slot.
 func scoreQueue(_ *Model, e *Engine, r *Request) float64 {
 	load := e.relativeLoad()
-	wait := max(0, load-1) * queuePenalty
-	return wait + load*e.StageTime.Seconds()*float64(max(r.OutputTokens, 1))
+	wait := max(0, load+1/float64(max(e.Slots, 1))-1) * queuePenalty
+	return (wait + 2*load*e.baseTime()) * float64(max(r.OutputTokens, 1))
 }
 
 // scorePrefill counts the prompt tokens that are not believed cached. A stage
@@ -129,6 +130,10 @@
 	return adapterLoad
 }
 
+// baseTime is the step time without other generations: steps grow about in
+// proportion to one plus the relative load at which StageTime was measured.
+func (e *Engine) baseTime() float64 { return e.StageTime.Seconds() / (1 + e.MeasuredLoad) }
+
 // relativeLoad is the corrected queue over the slots.
 func (e *Engine) relativeLoad() float64 {
 	return e.Load.Queue() / (float64(max(e.Slots, 1)) * e.Weight)
@@ -199,7 +204,7 @@
 }
 
 // defaultNear is the cost difference up to which two ways count as near-equal.
-const defaultNear = 0.05
+const defaultNear = 0.02
 
 // Pickers returns a new picker by name, nil for an unknown name.
 func Pickers(name string) Picker {
--- a/pkg/route/snapshot.go
+++ b/pkg/route/snapshot.go
@@ -28,6 +28,8 @@
 	Slots int
 	// StageTime is the measured time of one decode step of this stage.
 	StageTime time.Duration
+	// MeasuredLoad is the generations over the slots when StageTime was measured.
+	MeasuredLoad float64
 	// PrefillPerToken is the measured prefill time of one prompt token.
 	PrefillPerToken time.Duration
 	Loading         bool
