admission: judge a rank's share by its recent rate, not by requests in flight

Cause: lookups kept 93% of their load in an urgent flood although it is below their share: the count in flight exceeds the mean share in a fifth of the moments.

--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -129,7 +129,7 @@
 	if p.slots <= 0 {
 		return false
 	}
-	within := r != fleet.Overnight && float64(p.inFlight[r]+1) <= p.entitled(cfg, r)*float64(p.slots)
+	within := r != fleet.Overnight && p.usedRate(r) < p.entitled(cfg, r)*p.rate()
 	if owed || within {
 		// At least one, so that a pipeline of few slots also lets them overtake.
 		return p.total < p.slots+max(1, int(cfg.Depth*float64(p.slots)))
