admission: refuse earlier what will not start in time

Cause: a third of the accepted urgent requests of a 10x flood were refused only when their latest start passed: the queue holds 6 requests a VM, so waits vary a lot, and later work of teams below their share overtakes. Change: predictions are doubled before they are compared with deadlines, queued work counts 1.5 times for teams ahead of their share, and each tick refuses requests whose prediction moved past their latest start.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -78,7 +78,7 @@
 		Depth:     0.2,
 		Headroom:  0.5,
 		SlotRate:  20,
-		Safety:    1.25,
+		Safety:    2,
 	}
 }
 
--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -29,7 +29,6 @@
 	// doneCost and doneTime are decaying sums over finished requests.
 	doneCost, doneTime float64
 	decayedAt          time.Time
-	sweptRate          float64
 }
 
 func newPipeline(now time.Time, slotRate float64) *pipeline {
--- a/pkg/admission/predict.go
+++ b/pkg/admission/predict.go
@@ -20,8 +20,14 @@
 	// overnightMaxShare bounds the share that accepted work in danger may take
 	// when capacity was lost after it was accepted.
 	overnightMaxShare = 0.3
-	minRetryAfter     = 200 * time.Millisecond
-	maxRetryAfter     = 10 * time.Minute
+	// overtaken allows for work that arrives later and is served before the
+	// queued work of a team that is ahead of its share.
+	overtaken = 1.5
+	// sweepMargin is how far a prediction must miss the latest start before an
+	// accepted request is refused early; predictions of short waits vary.
+	sweepMargin   = 1.5
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 10 * time.Minute
 )
 
 // runTime estimates how long a request of the given cost occupies a slot.
@@ -30,8 +36,8 @@
 }
 
 // wait predicts the queueing time of a request behind ahead cost units of its
-// own team: the least of the time for all queued work and of the time for the
-// team's backlog at its weighted rate. What the team's counter lags behind the
+// own team: the least of the time for all queued work (and what may overtake it)
+// and of the time for the team's backlog at its weighted rate. What the team's counter lags behind the
 // floor is served first; what it leads is served after the others caught up.
 func (p *pipeline) wait(cfg *Config, r fleet.Rank, t *team, ahead float64) time.Duration {
 	rate := p.rankRate(cfg, r)
@@ -46,7 +52,7 @@
 		counter = max(counter, q.floor-q.burst/t.weight)
 	}
 	own := max(0, ahead+(counter-q.floor)*t.weight) / (rate * t.weight / weight)
-	return seconds(min(q.work/rate, own))
+	return seconds(min(overtaken*q.work/rate, own))
 }
 
 // setBurst derives the burst of a team from TeamBurst and the rank's rate.
@@ -108,7 +114,8 @@
 }
 
 // sweep refuses queued requests whose predicted start has moved past their
-// latest start because capacity fell. It visits every queued request of the rank.
+// latest start, because capacity fell or others came first. It visits every
+// queued request of the rank; MaxWait keeps these few.
 func (q *Queue) sweep(p *pipeline, r fleet.Rank, now time.Time, out []Action) []Action {
 	for _, b := range p.ranks[r].buckets {
 		for _, l := range slices.Clone(b.heap) {
@@ -122,7 +129,7 @@
 			})
 			for _, e := range entries {
 				wait := p.wait(&q.cfg, r, l.team, ahead)
-				if scale(wait, q.cfg.Safety) > e.latestStart.Sub(now) {
+				if scale(wait, 1/sweepMargin) > e.latestStart.Sub(now) {
 					out = q.refuse(p, e, now, wait, out)
 					continue
 				}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -11,10 +11,6 @@
 // pruneInterval is how often idle teams are forgotten.
 const pruneInterval = time.Minute
 
-// sweepDrop is the fall of the predicted rate that makes the queue check the
-// deadlines of waiting requests again.
-const sweepDrop = 0.9
-
 // defaultNight is the deadline of overnight work that names none.
 const defaultNight = 24 * time.Hour
 
@@ -179,7 +175,6 @@
 // what may start. It is called at least every 100 ms.
 func (q *Queue) Tick(now time.Time, out []Action) []Action {
 	for _, m := range q.order {
-		out = q.expireLanes(q.pipes[m], now, out)
 		out = q.advance(q.pipes[m], now, out)
 	}
 	if now.Sub(q.prunedAt) >= pruneInterval {
@@ -213,33 +208,13 @@
 // advance ages the measures of a pipeline, checks deadlines and starts requests.
 func (q *Queue) advance(p *pipeline, now time.Time, out []Action) []Action {
 	p.decay(now)
-	if rate := p.rate(); rate < p.sweptRate*sweepDrop || rate > p.sweptRate {
-		if rate < p.sweptRate && q.cfg.Order == Fair {
-			out = q.sweep(p, fleet.Urgent, now, out)
-			out = q.sweep(p, fleet.Lookup, now, out)
-		}
-		p.sweptRate = rate
+	if q.cfg.Order == Fair {
+		out = q.sweep(p, fleet.Urgent, now, out)
+		out = q.sweep(p, fleet.Lookup, now, out)
 	}
 	return q.drain(p, now, out)
 }
 
-// expireLanes refuses urgent and lookup requests that were not started in time,
-// also those of teams that are not next.
-func (q *Queue) expireLanes(p *pipeline, now time.Time, out []Action) []Action {
-	for _, r := range [...]fleet.Rank{fleet.Urgent, fleet.Lookup} {
-		rq := &p.ranks[r]
-		if q.cfg.Order != Fair || rq.queued == 0 {
-			continue
-		}
-		for _, l := range slices.Clone(rq.buckets[0].heap) {
-			for len(l.entries) > 0 && q.expired(l.entries[0], now) {
-				out = q.refuse(p, l.entries[0], now, p.wait(&q.cfg, r, l.team, l.team.work), out)
-			}
-		}
-	}
-	return out
-}
-
 // drain refuses expired heads and starts requests while the limits allow.
 func (q *Queue) drain(p *pipeline, now time.Time, out []Action) []Action {
 	for r := range p.ranks {
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -1,5 +1,6 @@
 // Package retry keeps retry budgets by team and upstream. It is pure: times are
 // handed in. Only the entry VM retries, so these budgets bound all repeated work.
+// Attempts whose connection was refused ran nowhere; they need no budget.
 //
 // Invariant: over any interval the retries granted for a key are at most
 // Ratio times its successes plus MinPerSecond times the seconds plus Burst.
