admission: accrue the guaranteed share with a margin

Cause: a backlogged overnight rank got 94% to 99% of its share in floods; slots become free late and credit is capped meanwhile. Change: credit accrues at 1.08 times the share.

--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -13,6 +13,10 @@
 // levelHalfLife is how fast the slots kept for a rank follow its demand.
 const levelHalfLife = 10 * time.Second
 
+// shareMargin covers what a rank loses between being owed a start and a slot
+// becoming free; without it a backlogged rank gets 94 to 99% of its share.
+const shareMargin = 1.08
+
 // pipeline is the queue and the in-flight account of one model.
 type pipeline struct {
 	slots    int
@@ -202,7 +206,7 @@
 		}
 		// One second of the share bounds how long a rank may be favoured later,
 		// but a rank of large requests must be able to save for its next one.
-		p.credit[r] = min(p.credit[r]+share*cost, max(share*p.rate(), 1.5*head.req.Cost))
+		p.credit[r] = min(p.credit[r]+shareMargin*share*cost, max(share*p.rate(), 1.5*head.req.Cost))
 	}
 	r := e.req.Rank
 	p.credit[r] = max(p.credit[r]-cost, -2*cost)
