admission: count a team's burst at the rank's rate; tests of its promises

Cause: TestRefusalAtOnce found 410 of 1120 refusals held for 0.9 s at the start of a flood by a lone team: its burst was predicted to wait nothing. Change: what a team lags is predicted at the rank's whole rate. The burst is 20 s. Tests: guaranteed shares, small beside large, no credit for idle teams, refusal at once, overnight by dawn with capacity lost, recovery, one answer for each request.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -73,7 +73,7 @@
 		Shares: [fleet.RankCount]float64{0.5, 0.2, 0.1},
 		// The urgent target is 1.4 s to the first token; the rest is left for the prefill.
 		MaxWait:   [fleet.RankCount]time.Duration{900 * time.Millisecond, 800 * time.Millisecond, 0},
-		TeamBurst: 10 * time.Second,
+		TeamBurst: 20 * time.Second,
 		MaxQueued: [fleet.RankCount]int{10_000, 10_000, 200_000},
 		Depth:     0.2,
 		Headroom:  0.5,
--- a/pkg/admission/predict.go
+++ b/pkg/admission/predict.go
@@ -38,7 +38,7 @@
 // wait predicts the queueing time of a request behind ahead cost units of its
 // own team: the least of the time for all queued work (and what may overtake it)
 // and of the time for the team's backlog at its weighted rate. What the team's counter lags behind the
-// floor is served first; what it leads is served after the others caught up.
+// floor is served first, at the whole rate; what it leads is served after the others caught up.
 func (p *pipeline) wait(cfg *Config, r fleet.Rank, t *team, ahead float64) time.Duration {
 	rate := p.rankRate(cfg, r)
 	if rate <= 0 {
@@ -51,7 +51,10 @@
 		weight += t.weight
 		counter = max(counter, q.floor-q.burst/t.weight)
 	}
-	own := max(0, ahead+(counter-q.floor)*t.weight) / (rate * t.weight / weight)
+	lag := max(0, q.floor-counter) * t.weight
+	lead := max(0, counter-q.floor) * t.weight
+	first := min(ahead, lag)
+	own := first/rate + (ahead-first+lead)/(rate*t.weight/weight)
 	return seconds(min(overtaken*q.work/rate, own))
 }
 
