--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 GO ?= go
 
-.PHONY: all build check fmt test demo history model
+.PHONY: all build check fmt test demo history model bench capacity
 
 all: check test
 
@@ -34,3 +34,13 @@
 # committed mutation.
 model:
 	spec/run
+
+# bench compares the policies with their baselines in virtual time and writes
+# the tables and plots into docs/.
+bench:
+	$(GO) run ./pkg/bench/run --seed $(SEED) --docs docs
+
+# demo starts stand-ins and four entry VMs as processes and checks their answers.
+demo:
+	$(GO) build -o bin/ ./cmd/...
+	./bin/demo
--- a/cmd/demo/cluster.go
+++ b/cmd/demo/cluster.go
@@ -190,9 +190,7 @@
 	}
 	for i := len(c.processes) - 1; i >= 0; i-- {
 		if c.processes[i].ProcessState == nil {
-			if err := c.processes[i].Wait(); err != nil {
-				failed = errors.Join(failed, fmt.Errorf("%s: %w", c.processes[i].Path, err))
-			}
+			failed = errors.Join(failed, waitOrKill(c.processes[i]))
 		}
 	}
 	if failed != nil {
@@ -202,6 +200,21 @@
 	return os.RemoveAll(c.dir)
 }
 
+// waitOrKill waits for a process that was told to stop and kills it when it
+// does not end in time, which is an error.
+func waitOrKill(cmd *exec.Cmd) error {
+	timer := time.AfterFunc(stopTimeout, func() { _ = cmd.Process.Kill() })
+	defer timer.Stop()
+	if err := cmd.Wait(); err != nil {
+		return fmt.Errorf("%s did not stop gracefully: %w", cmd.Path, err)
+	}
+	return nil
+}
+
+// stopTimeout is well above the drain of the demo: 2 s of address validity, 2 s
+// of margin and the longest generation.
+const stopTimeout = 20 * time.Second
+
 // freeAddresses returns loopback addresses that were free a moment ago.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -155,7 +155,7 @@
 		prompt := "Care notes for a hop bine wreath, " + rank
 		began := time.Now()
 		resp, answer, err := call(ctx, http.MethodPost, "http://"+c.vms[i].Address+"/v1/chat/completions", teamKey,
-			map[string]string{"Cornelline-Rank": rank, "Cornelline-Deadline": "20s"}, chatBody(prompt, 24, false))
+			map[string]string{"Cornelline-Rank": rank}, chatBody(prompt, 24, false))
 		if err != nil {
 			return err
 		}
--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -10,8 +10,12 @@
 // rateHalfLife is how fast measured rates follow a change.
 const rateHalfLife = 5 * time.Second
 
-// peakHalfLife is how fast the slots kept for a rank are given up after its demand fell.
-const peakHalfLife = 30 * time.Second
+// levelHalfLife is how fast the slots kept for a rank follow its demand.
+const levelHalfLife = 10 * time.Second
+
+// shareMargin covers what a rank loses between being owed a start and a slot
+// becoming free; without it a backlogged rank gets 94 to 99% of its share.
+const shareMargin = 1.08
 
 // pipeline is the queue and the in-flight account of one model.
 type pipeline struct {
@@ -22,14 +26,13 @@
 	total    int
 	// credit is the cost owed to a backlogged rank under its guaranteed share.
 	credit [fleet.RankCount]float64
-	// peak is the recent maximum of slots in use by a rank.
-	peak [fleet.RankCount]float64
+	// level is the recent mean of the slots that a rank used or waited for.
+	level [fleet.RankCount]float64
 	// used is the recent started cost of a rank, decaying by rateHalfLife.
 	used [fleet.RankCount]float64
 	// doneCost and doneTime are decaying sums over finished requests.
 	doneCost, doneTime float64
 	decayedAt          time.Time
-	sweptRate          float64
 }
 
 func newPipeline(now time.Time, slotRate float64) *pipeline {
@@ -47,10 +50,11 @@
 		return
 	}
 	p.decayedAt = now
-	peak := math.Exp2(-float64(dt) / float64(peakHalfLife))
+	level := math.Exp2(-float64(dt) / float64(levelHalfLife))
 	rate := math.Exp2(-float64(dt) / float64(rateHalfLife))
-	for r := range p.peak {
-		p.peak[r] = max(p.peak[r]*peak, float64(p.inFlight[r]))
+	for r := range p.level {
+		wanted := float64(p.inFlight[r] + p.ranks[r].queued)
+		p.level[r] = p.level[r]*level + wanted*(1-level)
 		p.used[r] *= rate
 	}
 	// A floor keeps the last measured rate while nothing finishes.
@@ -96,30 +100,42 @@
 	return max(left, cfg.Shares[r]*total)
 }
 
+// entitled returns the fraction of the slots that rank r may use before others
+// come first: its share, and for urgent all that is neither guaranteed to
+// overnight work nor lately used by lookups within their share.
+func (p *pipeline) entitled(cfg *Config, r fleet.Rank) float64 {
+	if r != fleet.Urgent {
+		return cfg.Shares[r]
+	}
+	lookups := p.wanted(cfg, fleet.Lookup) / float64(max(p.slots, 1))
+	return 1 - cfg.Shares[fleet.Overnight] - min(cfg.Shares[fleet.Lookup], lookups)
+}
+
+// wanted returns the slots that rank r needs for its recent use and its variation.
+func (p *pipeline) wanted(cfg *Config, r fleet.Rank) float64 {
+	return p.level[r] + cfg.Headroom*math.Sqrt(p.level[r])
+}
+
 // reserve returns the slots kept for rank r against other ranks.
 func (p *pipeline) reserve(cfg *Config, r fleet.Rank) int {
-	if r == fleet.Overnight || p.peak[r] < 0.01 {
+	if r == fleet.Overnight || p.level[r] < 0.01 {
 		return 0
 	}
-	want := p.peak[r] + math.Max(1, cfg.Headroom*float64(p.slots))
-	return int(min(want, cfg.Shares[r]*float64(p.slots)))
+	return int(min(p.wanted(cfg, r), p.entitled(cfg, r)*float64(p.slots)))
 }
 
 // allowed reports whether rank r may start another request. A rank that is owed
-// its guaranteed share may use the extra depth and other ranks' reserves.
+// its guaranteed share, and urgent and lookup work within theirs, may use the
+// extra depth and other ranks' reserves: its wait would otherwise depend on how
+// long the requests of other ranks run.
 func (p *pipeline) allowed(cfg *Config, r fleet.Rank, owed bool) bool {
 	if p.slots <= 0 {
 		return false
 	}
-	limit := p.slots
-	if r == fleet.Urgent || owed {
-		limit += cfg.Depth
-	}
-	if p.total >= limit {
-		return false
-	}
-	if owed {
-		return true
+	within := r != fleet.Overnight && p.usedRate(r) < p.entitled(cfg, r)*p.rate()
+	if owed || within {
+		// At least one, so that a pipeline of few slots also lets them overtake.
+		return p.total < p.slots+max(1, int(cfg.Depth*float64(p.slots)))
 	}
 	kept := 0
 	for k := range fleet.Rank(fleet.RankCount) {
@@ -127,7 +143,7 @@
 			kept += max(0, p.reserve(cfg, k)-p.inFlight[k])
 		}
 	}
-	return p.total+kept < limit
+	return p.total+kept < p.slots
 }
 
 // next returns the entry to start now, nil when none may start.
@@ -179,21 +195,22 @@
 func (p *pipeline) account(cfg *Config, e *entry, overnightShare float64) {
 	cost := e.req.Cost
 	for r := range p.credit {
+		head := p.ranks[r].head()
 		share := cfg.Shares[r]
 		if fleet.Rank(r) == fleet.Overnight {
 			share = overnightShare
 		}
-		if p.ranks[r].queued == 0 {
+		if head == nil {
 			p.credit[r] = min(p.credit[r], 0) // an idle rank accrues no credit
 			continue
 		}
-		// One second of the share bounds how long a rank may be favoured later.
-		p.credit[r] = min(p.credit[r]+share*cost, max(share*p.rate(), 2*cost))
+		// One second of the share bounds how long a rank may be favoured later,
+		// but a rank of large requests must be able to save for its next one.
+		p.credit[r] = min(p.credit[r]+shareMargin*share*cost, max(share*p.rate(), 1.5*head.req.Cost))
 	}
 	r := e.req.Rank
 	p.credit[r] = max(p.credit[r]-cost, -2*cost)
 	p.used[r] += cost
 	p.inFlight[r]++
 	p.total++
-	p.peak[r] = max(p.peak[r], float64(p.inFlight[r]))
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -11,10 +11,6 @@
 // pruneInterval is how often idle teams are forgotten.
 const pruneInterval = time.Minute
 
-// sweepDrop is the fall of the predicted rate that makes the queue check the
-// deadlines of waiting requests again.
-const sweepDrop = 0.9
-
 // defaultNight is the deadline of overnight work that names none.
 const defaultNight = 24 * time.Hour
 
@@ -99,6 +95,9 @@
 	p := q.pipe(now, req.Model)
 	p.decay(now)
 	req.Cost = max(req.Cost, 1)
+	if q.cfg.Order == Fair {
+		p.setBurst(&q.cfg, req.Rank, q.allWeights)
+	}
 	if req.Rank == fleet.Overnight && req.Deadline.IsZero() && q.cfg.Order == Fair {
 		req.Deadline = now.Add(defaultNight)
 	}
@@ -209,12 +208,9 @@
 // advance ages the measures of a pipeline, checks deadlines and starts requests.
 func (q *Queue) advance(p *pipeline, now time.Time, out []Action) []Action {
 	p.decay(now)
-	if rate := p.rate(); rate < p.sweptRate*sweepDrop || rate > p.sweptRate {
-		if rate < p.sweptRate && q.cfg.Order == Fair {
-			out = q.sweep(p, fleet.Urgent, now, out)
-			out = q.sweep(p, fleet.Lookup, now, out)
-		}
-		p.sweptRate = rate
+	if q.cfg.Order == Fair {
+		out = q.sweep(p, fleet.Urgent, now, out)
+		out = q.sweep(p, fleet.Lookup, now, out)
 	}
 	return q.drain(p, now, out)
 }
--- a/pkg/entry/upstreams.go
+++ b/pkg/entry/upstreams.go
@@ -19,7 +19,7 @@
 		id: id, view: view, address: view.Upstream.Address,
 		load: new(route.Load), prefixes: new(route.PrefixTable), stageScale: 1,
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(s.running)
 	c.stop = cancel
 	if !c.isEngine() {
 		return c
--- a/pkg/replica/append.go
+++ b/pkg/replica/append.go
@@ -10,7 +10,7 @@
 // error only says that the record was not read back here; OnLease and OnChange
 // tell which records are valid.
 func (r *Runner) Append(ctx context.Context, rec record.Record) error {
-	if o := r.propose(ctx, rec); !o.decided {
+	if o := r.propose(ctx, rec, nil); !o.decided {
 		return unavailable("the record was not read back")
 	}
 	return nil
