--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -28,8 +28,10 @@
 	// SuspicionMin is the least time that a suspicion waits for its refutation.
 	SuspicionMin = 2 * time.Second
 	// TombstoneTime is how long a dead member is remembered, so that late news
-	// of its life does not bring it back.
-	TombstoneTime = time.Minute
+	// of its life does not bring it back. Until then it is pinged at times.
+	TombstoneTime = 10 * time.Minute
+	// checkInterval is the time between two checks of suspicions.
+	checkInterval = 200 * time.Millisecond
 	// PauseLimit is the gap between two ticks after which the VM takes itself to
 	// have been paused. It then ends its probes without a verdict.
 	PauseLimit = 1500 * time.Millisecond
@@ -54,7 +56,7 @@
 	// MaxMembers and MaxSummaries bound the news in a Ping or Ack. Free places
 	// are filled with other members in turn, so that the size hardly varies.
 	MaxMembers   = 4
-	MaxSummaries = 1
+	MaxSummaries = 2
 	// MaxJoinMembers bounds the members in the answer to a join, and
 	// joinAnswers the number of such answers in a second; further ones are short.
 	MaxJoinMembers = 32
@@ -67,6 +69,8 @@
 	announceFan = 8
 	// announceTicks is the number of ticks in which it does so.
 	announceTicks = 24
+	// summaryNews is how often each VM passes on a new summary before others get their turn.
+	summaryNews = 2
 	// newsFactor times the logarithm of the number of members is how often each VM passes on a piece of news.
 	newsFactor = 2
 )
@@ -160,6 +164,7 @@
 	nextProbe    time.Time
 	nextSummary  time.Time
 	nextSeed     time.Time
+	nextCheck    time.Time
 	probe        *probe
 	relayed      map[uint64]relayedProbe
 	sequence     uint64
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -43,7 +43,7 @@
 func (m *Machine) ping(target *member) *Ping {
 	p := &Ping{Sequence: m.sequence, From: m.self}
 	p.Members = m.news(target)
-	p.Summaries = m.summaryNews()
+	p.Summaries = m.someSummaries()
 	return p
 }
 
@@ -110,6 +110,10 @@
 
 // checkSuspicions turns old suspicions into verdicts and forgets old dead members.
 func (m *Machine) checkSuspicions() {
+	if m.now.Before(m.nextCheck) {
+		return
+	}
+	m.nextCheck = m.now.Add(checkInterval)
 	for i := 0; i < len(m.order); i++ {
 		x := m.members[m.order[i]]
 		if x.Status == Suspect && !m.now.Before(x.suspectUntil) {
@@ -138,7 +142,7 @@
 	}
 	a := &Ack{Sequence: p.Sequence, From: m.self}
 	a.Members = m.news(m.members[p.From.ID])
-	a.Summaries = m.summaryNews()
+	a.Summaries = m.someSummaries()
 	if p.Join && m.takeJoinToken() {
 		a.Members = m.joinList(p.From.ID)
 		a.Summaries = m.allSummaries()
@@ -154,7 +158,7 @@
 		m.introduce(p.From)
 	}
 	a := &Ack{Sequence: p.Sequence, From: m.self}
-	a.Summaries = m.summaryNews()
+	a.Summaries = m.someSummaries()
 	if p.Join && m.takeJoinToken() {
 		a.Summaries = m.allSummaries()
 	} else if r := m.remotes[p.From.DataCentre]; r != nil {
--- a/pkg/membership/relay.go
+++ b/pkg/membership/relay.go
@@ -138,30 +138,35 @@
 	return list
 }
 
-// nextSummaries returns up to n summaries: those with news first, then in turn.
+// nextSummaries returns up to n summaries: those with news first, then others,
+// both in turn, so that no data centre's news waits for that of another.
 func (m *Machine) nextSummaries(n int) []Summary {
-	var list []Summary
-	for _, dc := range m.remoteOrder {
-		if r := m.remotes[dc]; r.news > 0 && len(list) < n {
-			r.news--
-			list = append(list, r.Summary)
-		}
-	}
-	for range m.remoteOrder {
-		if len(list) >= n {
-			break
-		}
-		m.summaryIndex = (m.summaryIndex + 1) % len(m.remoteOrder)
-		r := m.remotes[m.remoteOrder[m.summaryIndex]]
-		if !slices.ContainsFunc(list, func(s Summary) bool { return s.DataCentre == r.DataCentre }) {
-			list = append(list, r.Summary)
+	n = min(n, len(m.remoteOrder))
+	list := make([]Summary, 0, n)
+	pick := func(wanted func(*remote) bool) {
+		for range m.remoteOrder {
+			if len(list) >= n {
+				return
+			}
+			m.summaryIndex = (m.summaryIndex + 1) % len(m.remoteOrder)
+			if r := m.remotes[m.remoteOrder[m.summaryIndex]]; wanted(r) {
+				list = append(list, r.Summary)
+			}
 		}
 	}
+	pick(func(r *remote) bool {
+		fresh := r.news > 0
+		r.news = max(r.news-1, 0)
+		return fresh
+	})
+	pick(func(r *remote) bool {
+		return !slices.ContainsFunc(list, func(s Summary) bool { return s.DataCentre == r.DataCentre })
+	})
 	return list
 }
 
-// summaryNews returns the summaries for a Ping or Ack.
-func (m *Machine) summaryNews() []Summary { return m.nextSummaries(MaxSummaries) }
+// someSummaries returns the summaries for a Ping or Ack.
+func (m *Machine) someSummaries() []Summary { return m.nextSummaries(MaxSummaries) }
 
 // allSummaries returns one summary of each data centre, the own one included.
 func (m *Machine) allSummaries() []Summary {
@@ -199,17 +204,17 @@
 	}
 	r.Summary = s
 	r.heardAt = m.now
-	r.news = 1
+	r.news = summaryNews
 }
 
-// useOwnContacts joins the own data centre through contacts of its summary
-// while no member is known.
+// useOwnContacts pings contacts of the own data centre that are not known, so
+// that groups of members that do not know of each other merge.
 func (m *Machine) useOwnContacts(s Summary) {
-	if len(m.members) > 0 {
+	if m.self.Status == Left {
 		return
 	}
 	for _, c := range append(slices.Clone(s.Relays), s.Sample...) {
-		if c.ID != m.self.ID {
+		if _, known := m.members[c.ID]; !known && c.ID != m.self.ID {
 			m.sequence++
 			m.send(c.PeerAddress, &Ping{Sequence: m.sequence, From: m.self, Join: true})
 		}
@@ -235,6 +240,7 @@
 		interval = JoinInterval
 	}
 	m.nextSeed = m.now.Add(interval/2 + m.jitter(interval))
+	m.pingLost()
 	if len(m.config.Seeds) == 0 {
 		return
 	}
@@ -246,6 +252,23 @@
 	m.sequence++
 	m.send(seed, &Ping{
 		Sequence: m.sequence, From: m.self, Join: len(m.members) == 0,
-		Summaries: m.summaryNews(),
+		Summaries: m.someSummaries(),
 	})
 }
+
+// pingLost pings a random member that is believed dead, so that the parts of a
+// data centre that took each other for dead meet again.
+func (m *Machine) pingLost() {
+	var lost []*member
+	for _, id := range m.order {
+		if x := m.members[id]; x.Status == Dead {
+			lost = append(lost, x)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	x := lost[m.rand.IntN(len(lost))]
+	m.sequence++
+	m.send(x.PeerAddress, m.ping(x))
+}
--- a/pkg/spread/message.go
+++ b/pkg/spread/message.go
@@ -17,12 +17,12 @@
 	Data     []byte
 }
 
-// Records carries records down the tree or answers a Want.
+// Records carries records down the tree or answers a Want. An answer without
+// records says that the sender does not keep the wanted ones.
 type Records struct {
-
 	// Sender is the peer address of the VM that sent the message.
 	Sender string
-	// Repair is set on an answer to a Want; such records are not passed on.
+	// Repair is set on an answer to a Want.
 	Repair  bool
 	Records []Record
 	// Highest is the highest offset that the sender has heard of.
@@ -35,9 +35,13 @@
 	After  uint64
 }
 
-// SnapshotWant asks a peer for its state. It is a request of wire.Transport.Call.
+// SnapshotWant asks a peer for a part of its state. It is a request of wire.Transport.Call.
 type SnapshotWant struct {
 	Stream string
+	// Covers and Part name a part of the snapshot offered earlier. Covers 0
+	// asks for the first part of the newest one.
+	Covers uint64
+	Part   int
 }
 
 // Snapshot is the response to SnapshotWant.
@@ -47,38 +51,55 @@
 	Covers uint64
 	// Highest is the highest offset that the sender has heard of.
 	Highest uint64
-	// Ready is set when the sender itself is ready.
-	Ready bool
-	Hash  [32]byte
-	State []byte
+	// Hash is the SHA-256 of the whole state.
+	Hash [32]byte
+	// State is part number Part of Parts parts.
+	Part, Parts int
+	State       []byte
 }
 
 // Status tells a random peer once an interval how far the sender is, so that
-// both find out what either lacks.
+// both find out what either lacks. Its size is fixed.
 type Status struct {
 	Sender  string
 	Applied uint64
 	Highest uint64
-	// Notices are the short identities of some notices that the sender has.
-	Notices []uint32
+	// Digest is the XOR of the identities of the sender's settled notices.
+	Digest uint64
+	// Answer is set on the answer to a Status, which gets none itself.
+	Answer bool
 }
 
 // Notice is a small opaque payload that goes to all VMs for a bounded time.
 type Notice struct {
-
 	// Origin and Sequence identify the notice.
 	Origin   fleet.VMID
 	Sequence uint64
 	// Topic tells the host how to read Data.
-	Topic uint8
+	Topic Topic
 	// LifetimeMS is the remaining time in milliseconds.
 	LifetimeMS uint32
 	Data       []byte
 }
 
+// Topic is the subject of a notice.
+type Topic uint8
+
+// The topics.
+const (
+	// TopicQuarantine carries a quarantined fingerprint.
+	TopicQuarantine Topic = iota + 1
+	// TopicUpstreamLeaving names an upstream that announced its end.
+	TopicUpstreamLeaving
+	// TopicLoad carries load shares.
+	TopicLoad
+)
+
 // Notices carries notices to a peer.
 type Notices struct {
-	Sender  string
-	Repair  bool
+	Sender string
+	// Root is the VM from which the notices go down the tree of the receiver's
+	// data centre; empty makes the receiver the root.
+	Root    fleet.VMID
 	Notices []Notice
 }
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -112,6 +112,18 @@
 	return b.Bytes(), nil
 }
 
+// Size returns the bytes that a message takes on a connection, frame included.
+func Size(m Message) (int, error) {
+	kind, payload, err := Encode(m)
+	if err != nil {
+		return 0, err
+	}
+	// A sequence of five bytes is what a connection of some hours has.
+	f := frame{Kind: kind, Sequence: 1 << 20, Payload: payload, MAC: make([]byte, macSize)}
+	body, err := marshal(&f)
+	return prefixSize + len(body), err
+}
+
 // Decode parses a message's payload.
 func Decode(kind Kind, payload []byte) (Message, error) {
 	t, ok := messageTypes[kind]
