--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -57,6 +57,13 @@
 	Queue    float64            `json:"queue_estimate"`
 	Epoch    uint64             `json:"epoch,omitempty"`
 	DC       fleet.DataCentreID `json:"data_centre"`
+	load     *route.Load
+}
+
+// current returns the status with the load of this moment.
+func (s upstreamStatus) current() upstreamStatus {
+	s.Own, s.Queue = s.load.Own(), s.load.Queue()
+	return s
 }
 
 // control owns all control state. Its fields are touched by the goroutine of
@@ -181,6 +188,7 @@
 		switch classify(err) {
 		case succeeded:
 			out = c.detector.Succeeded(now, id, latency, out)
+			c.served(id, latency)
 		case refused:
 			out = c.detector.Refused(now, id, out)
 		case silent:
@@ -195,6 +203,14 @@
 	})
 }
 
+// served books the answer time of a plain service's server.
+func (c *control) served(id fleet.UpstreamID, latency time.Duration) {
+	if condition, ok := c.conditions[id]; ok && !condition.isEngine() {
+		condition.served(latency)
+		c.dirty = true
+	}
+}
+
 // suspected books that a stage is blamed for a broken generation. Beside the
 // failure it is probed, so that a dead engine takes no new work within a second.
 func (c *control) suspected(id fleet.UpstreamID, cause error) {
@@ -451,7 +467,7 @@
 	s := upstreamStatus{
 		Upstream: u.id, Kind: u.view.Upstream.Kind, Address: u.address, DC: fleet.DataCentreID(u.view.Upstream.DataCentre),
 		Ready: !u.isEngine() || u.reported && !u.state.Loading, Leaving: u.leaving(), Ejected: ejected, Weight: weight,
-		Own: u.load.Own(), Queue: u.load.Queue(), Epoch: u.state.Epoch, Model: u.state.Assignment.Model,
+		Epoch: u.state.Epoch, Model: u.state.Assignment.Model, load: u.load,
 	}
 	if u.isEngine() {
 		s.Layers = u.state.Assignment.Layers.String()
--- a/pkg/entry/policy.go
+++ b/pkg/entry/policy.go
@@ -13,7 +13,7 @@
 // admissionConfig returns the admission limits in force.
 func admissionConfig(d *directory) admission.Config {
 	cfg := admission.DefaultConfig()
-	cfg.Depth = int(d.local.Admission.Depth)
+	cfg.Depth = float64(d.local.Admission.Depth)
 	cfg.Headroom = d.local.Admission.Headroom
 	cfg.Weights = make(map[fleet.TeamID]float64, len(d.teams))
 	for _, id := range d.teams {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -115,11 +115,15 @@
 	s.start(s.running)
 	s.app = kratos.New(
 		kratos.ID(string(s.cfg.VM)), kratos.Name("cornelline"), kratos.Version(Version),
-		kratos.Context(ctx), kratos.Server(s.http), kratos.Logger(kratosLogger{s.log}),
+		kratos.Context(context.WithoutCancel(ctx)), kratos.Server(s.http), kratos.Logger(kratosLogger{s.log}),
 		kratos.BeforeStop(func(context.Context) error { s.drainAll(); return nil }),
 		kratos.StopTimeout(s.directory().local.Drain.Max),
 	)
 	s.log.Log(event.Started).Str("address", s.cfg.Address).Str("version", Version).Send()
+	// The end of ctx must go through the drain: an app that runs under ctx itself
+	// would close its connections at once.
+	stopping := context.AfterFunc(ctx, func() { _ = s.app.Stop() })
+	defer stopping()
 	err := s.app.Run()
 	s.leave()
 	s.cancel()
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -38,7 +38,10 @@
 		VM: s.cfg.VM, Version: Version, Ready: s.ready(), Draining: draining, InFlight: inFlight,
 		SettingsOffset: s.settings.View().Offset, HighestOffset: view.members.Highest,
 		LogAvailable: s.settings.View().LogUp, ClaimsAvailable: s.claims.View().LogUp,
-		Queued: map[string]int{}, Members: []vmAddress{}, Upstreams: view.upstreams, Rehearsals: s.injector.Active(),
+		Queued: map[string]int{}, Members: []vmAddress{}, Rehearsals: s.injector.Active(),
+	}
+	for _, u := range view.upstreams {
+		body.Upstreams = append(body.Upstreams, u.current())
 	}
 	for r, n := range s.gate.queued() {
 		body.Queued[fleet.Rank(r).String()] = n
