Start from peers' state during a log outage

Cause: a VM that starts while the log is away had no settings; docs/design.md 4.2 takes them from peers. Change: peers offer their state in parts over the inner protocol, members share the offset in force, and a VM that is not ready itself offers nothing, so that VMs that start together cannot take each other's empty state for the one in force. The demo asks again while a claim is in progress on another VM.

--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -210,7 +210,7 @@
 		e := <-ends
 		fmt.Printf("  %s%v\n", bytes.TrimSpace(e.answer), errorText(e.err))
 	}
-	_, again, err := call(ctx, http.MethodPost, "http://"+c.vms[2].Address+"/v1/services/booking", teamKey, header, booking)
+	again, err := askAgain(ctx, "http://"+c.vms[2].Address+"/v1/services/booking", header, booking)
 	if err != nil {
 		return fmt.Errorf("ask again: %w", err)
 	}
@@ -218,6 +218,21 @@
 	return c.checkRuns(ctx, made.Key)
 }
 
+// askAgain repeats a call while the answer says that it is in progress.
+func askAgain(ctx context.Context, url string, header map[string]string, body any) ([]byte, error) {
+	for {
+		resp, answer, err := call(ctx, http.MethodPost, url, teamKey, header, body)
+		if err == nil || resp == nil || resp.StatusCode != http.StatusConflict || resp.Header.Get("Retry-After-Ms") == "" {
+			return answer, err
+		}
+		wait, err := time.ParseDuration(resp.Header.Get("Retry-After-Ms") + "ms")
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(wait)
+	}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -78,7 +78,9 @@
 	placer     *placer
 	actions    []outlier.Action
 	dirty      bool
-	done       chan struct{}
+	// told is the highest settings offset that the replica was told of.
+	told uint64
+	done chan struct{}
 }
 
 func newControl(ctx context.Context, s *Server, now time.Time) *control {
@@ -124,6 +126,7 @@
 }
 
 func (c *control) tick(now time.Time) {
+	c.shareOffset()
 	c.send(c.members.Tick(now))
 	c.act(c.detector.Tick(now, c.actions[:0]))
 	c.placer.handle(now, placement.Tick{})
@@ -133,6 +136,19 @@
 	c.setCapacities()
 }
 
+// shareOffset tells the members which settings are in force here, and the
+// replica of the highest offset that any member has in force.
+func (c *control) shareOffset() {
+	view := c.server.settings.View()
+	c.members.SetLocal(membership.Local{Offset: view.Offset})
+	highest := c.members.View().Highest
+	if highest <= view.Highest || c.told >= highest {
+		return
+	}
+	c.told = highest
+	go c.server.settings.HighestHeard(c.server.running, "members", highest)
+}
+
 // send carries out the actions of the membership machine.
 func (c *control) send(actions []membership.Action) {
 	for _, a := range actions {
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/quarantine"
+	"github.com/cornelline/cornelline/pkg/spread"
 	"github.com/cornelline/cornelline/pkg/wire"
 )
 
@@ -39,13 +40,15 @@
 }
 
 // respond answers a peer's request.
-func (s *Server) respond(_ context.Context, _ wire.Peer, m wire.Message) (wire.Message, error) {
-	request, ok := m.(*wire.Explain)
-	if !ok {
-		return nil, errUnknownMessage
+func (s *Server) respond(ctx context.Context, _ wire.Peer, m wire.Message) (wire.Message, error) {
+	switch m := m.(type) {
+	case *wire.Explain:
+		data, found := s.ownExplanation(m.Request, m.Team)
+		return &wire.Explanation{Found: found, JSON: data}, nil
+	case *spread.SnapshotWant:
+		return s.offerState(ctx, m)
 	}
-	data, found := s.ownExplanation(request.Request, request.Team)
-	return &wire.Explanation{Found: found, JSON: data}, nil
+	return nil, errUnknownMessage
 }
 
 // ownExplanation returns the explanation of a request that this VM took. A
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -59,6 +59,7 @@
 	drain    *drainer
 	suspects *suspects
 	lengths  *lengths
+	offered  offeredSnapshot
 	current  atomic.Pointer[directory]
 
 	retryMu sync.Mutex
@@ -146,6 +147,7 @@
 	s.watchers.Go(func() { s.control.run(ctx) })
 	s.watchers.Go(func() { s.settings.Run(ctx) })
 	s.watchers.Go(func() { s.claims.Run(ctx) })
+	s.watchers.Go(func() { s.fetchFromPeers(ctx) })
 	s.watchers.Go(func() { s.pollVMList(ctx) })
 }
 
