Share the description of the small deployment between demo and tests

Cause: the entry daemon's tests need the demo's stand-ins, VMs and settings. Change: internal/testbed describes them; the demo only starts processes.

--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,16 +14,11 @@
 	"syscall"
 	"time"
 
+	"github.com/cornelline/cornelline/internal/testbed"
 	"github.com/cornelline/cornelline/pkg/cli"
 	"github.com/cornelline/cornelline/pkg/standin"
-	"github.com/cornelline/cornelline/pkg/tokens"
 )
 
-func hash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // call sends a request with a key and headers and returns the answer.
 func call(ctx context.Context, method, url, key string, header map[string]string, body any) (*http.Response, []byte, error) {
 	data, err := json.Marshal(body)
@@ -54,7 +47,7 @@
 
 // applySettings puts the settings of the demo through the operators' API.
 func applySettings(ctx context.Context, c *cluster) error {
-	data, err := json.Marshal(c.settings())
+	data, err := c.Settings()
 	if err != nil {
 		return err
 	}
@@ -62,24 +55,24 @@
 	if err != nil {
 		return err
 	}
-	base := "http://" + c.vms[0].Address + "/v1/settings/"
+	base := "http://" + c.VMs[0].Address + "/v1/settings/"
 	for _, b := range branches {
-		_, _, err := call(ctx, http.MethodPut, base+b.Path, operatorKey, map[string]string{"If-Match": `"0"`}, b.Value)
+		_, _, err := call(ctx, http.MethodPut, base+b.Path, testbed.OperatorKey, map[string]string{"If-Match": `"0"`}, b.Value)
 		if err != nil {
 			return err
 		}
 	}
-	fmt.Printf("%d branches accepted through %s\n", len(branches), c.vms[0].VM)
+	fmt.Printf("%d branches accepted through %s\n", len(branches), c.VMs[0].VM)
 	return c.waitInForce(ctx)
 }
 
 // waitInForce waits until every VM serves the model.
 func (c *cluster) waitInForce(ctx context.Context) error {
 	began := time.Now()
-	for _, vm := range c.vms {
+	for _, vm := range c.VMs {
 		for {
-			_, answer, err := call(ctx, http.MethodGet, "http://"+vm.Address+"/v1/models", teamKey, nil, nil)
-			if err == nil && strings.Contains(string(answer), string(modelID)) {
+			_, answer, err := call(ctx, http.MethodGet, "http://"+vm.Address+"/v1/models", testbed.TeamKey, nil, nil)
+			if err == nil && strings.Contains(string(answer), string(testbed.ModelID)) {
 				break
 			}
 			if ctx.Err() != nil {
@@ -88,74 +81,24 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
-	fmt.Printf("in force on all %d VMs after %d ms\n", len(c.vms), time.Since(began).Milliseconds())
+	fmt.Printf("in force on all %d VMs after %d ms\n", len(c.VMs), time.Since(began).Milliseconds())
 	time.Sleep(time.Second) // the engines' states are polled every 500 ms
 	return nil
 }
 
-// settings returns the tree of the demo.
-func (c *cluster) settings() map[string]any {
-	tree := map[string]any{
-		"fleet": map[string]any{
-			"operators": map[string]any{"key_hashes": []string{hash(operatorKey)}},
-			"address":   map[string]any{"valid_for": "2s"},
-		},
-		"model/" + string(modelID): map[string]any{"layers": modelLayers, "version": modelVersion, "bytes_per_layer": 1 << 20},
-		"route/booking": map[string]any{
-			"path": "/booking", "repeatable": false, "upstreams": []string{"booking-1", "booking-2", "booking-3"},
-		},
-		"route/stock": map[string]any{
-			"path": "/stock", "repeatable": true, "upstreams": []string{"booking-1", "booking-2", "booking-3"},
-		},
-		"team/" + teamID: map[string]any{"key_hashes": []string{hash(teamKey)}, "default_rank": "urgent"},
-	}
-	for _, dc := range []string{"gossau", "wil", "herisau"} {
-		tree["fleet/region/"+string(region)+"/dc/"+dc] = map[string]any{}
-	}
-	for i, e := range c.standins.Engines {
-		speed := 1.0
-		if !c.specs[i].fast {
-			speed = 0.4
-		}
-		tree["upstream/"+e.ID] = map[string]any{
-			"kind": "engine", "address": e.Listen, "data_centre": c.specs[i].dc, "speed": speed,
-			"memory_bytes": 8 << 30, "slots": e.Slots, "fencing": "enforced",
-		}
-	}
-	for _, s := range c.standins.Services {
-		tree["upstream/"+s.ID] = map[string]any{"kind": "service", "address": s.Listen, "data_centre": "gossau"}
-	}
-	return tree
-}
-
 func showAddress(ctx context.Context, c *cluster) error {
-	_, answer, err := call(ctx, http.MethodGet, "http://"+c.vms[0].Address+"/v1/address", teamKey, nil, nil)
+	_, answer, err := call(ctx, http.MethodGet, "http://"+c.VMs[0].Address+"/v1/address", testbed.TeamKey, nil, nil)
 	fmt.Printf("%s", answer)
 	return err
 }
 
-// chatBody returns a chat completions request.
-func chatBody(prompt string, tokens int, stream bool) map[string]any {
-	return map[string]any{
-		"model": modelID, "stream": stream, "max_tokens": tokens,
-		"messages": []map[string]string{{"role": "user", "content": prompt}},
-	}
-}
-
-// expected returns the right answer to a prompt, computed without stages.
-func expected(prompt string, limit int) string {
-	text := fmt.Sprintf("<|user|>%s\n<|assistant|>", prompt)
-	t := tokens.ByteLevel{}
-	return tokens.DecodeAll(t, standin.ExpectedTokens(modelID, modelVersion, "", modelLayers, t.Encode(text), limit))
-}
-
 // allRanks sends one plain request of each rank through a different VM each.
 func allRanks(ctx context.Context, c *cluster) error {
 	for i, rank := range []string{"urgent", "lookup", "overnight"} {
 		prompt := "Care notes for a hop bine wreath, " + rank
 		began := time.Now()
-		resp, answer, err := call(ctx, http.MethodPost, "http://"+c.vms[i].Address+"/v1/chat/completions", teamKey,
-			map[string]string{"Cornelline-Rank": rank}, chatBody(prompt, 24, false))
+		resp, answer, err := call(ctx, http.MethodPost, "http://"+c.VMs[i].Address+"/v1/chat/completions", testbed.TeamKey,
+			map[string]string{"Cornelline-Rank": rank}, testbed.ChatBody(prompt, 24, false))
 		if err != nil {
 			return err
 		}
@@ -163,10 +106,10 @@
 		if err != nil {
 			return err
 		}
-		if got != expected(prompt, 24) {
-			return fmt.Errorf("rank %s: wrong answer %q, want %q", rank, got, expected(prompt, 24))
+		if got != testbed.ExpectedText(prompt, 24) {
+			return fmt.Errorf("rank %s: wrong answer %q, want %q", rank, got, testbed.ExpectedText(prompt, 24))
 		}
-		fmt.Printf("%-9s via %s: right after %d ms, request %s\n", rank, c.vms[i].VM, time.Since(began).Milliseconds(), resp.Header.Get("Cornelline-Request-Id"))
+		fmt.Printf("%-9s via %s: right after %d ms, request %s\n", rank, c.VMs[i].VM, time.Since(began).Milliseconds(), resp.Header.Get("Cornelline-Request-Id"))
 	}
 	return nil
 }
@@ -185,7 +128,7 @@
 
 // bookTwice sends the same booking through two VMs at once and counts its runs.
 func bookTwice(ctx context.Context, c *cluster) error {
-	_, answer, err := call(ctx, http.MethodPost, "http://"+c.vms[0].Address+"/v1/idempotency-keys", teamKey, nil, nil)
+	_, answer, err := call(ctx, http.MethodPost, "http://"+c.VMs[0].Address+"/v1/idempotency-keys", testbed.TeamKey, nil, nil)
 	if err != nil {
 		return err
 	}
@@ -200,9 +143,9 @@
 		err    error
 	}
 	ends := make(chan end, 2)
-	for _, vm := range c.vms[:2] {
+	for _, vm := range c.VMs[:2] {
 		go func() {
-			_, answer, err := call(ctx, http.MethodPost, "http://"+vm.Address+"/v1/services/booking", teamKey, header, booking)
+			_, answer, err := call(ctx, http.MethodPost, "http://"+vm.Address+"/v1/services/booking", testbed.TeamKey, header, booking)
 			ends <- end{answer, err}
 		}()
 	}
@@ -210,18 +153,18 @@
 		e := <-ends
 		fmt.Printf("  %s%v\n", bytes.TrimSpace(e.answer), errorText(e.err))
 	}
-	again, err := askAgain(ctx, "http://"+c.vms[2].Address+"/v1/services/booking", header, booking)
+	again, err := askAgain(ctx, "http://"+c.VMs[2].Address+"/v1/services/booking", header, booking)
 	if err != nil {
 		return fmt.Errorf("ask again: %w", err)
 	}
-	fmt.Printf("asked again via %s: %s\n", c.vms[2].VM, bytes.TrimSpace(again))
+	fmt.Printf("asked again via %s: %s\n", c.VMs[2].VM, bytes.TrimSpace(again))
 	return c.checkRuns(ctx, made.Key)
 }
 
 // askAgain repeats a call while the answer says that it is in progress.
 func askAgain(ctx context.Context, url string, header map[string]string, body any) ([]byte, error) {
 	for {
-		resp, answer, err := call(ctx, http.MethodPost, url, teamKey, header, body)
+		resp, answer, err := call(ctx, http.MethodPost, url, testbed.TeamKey, header, body)
 		if err == nil || resp == nil || resp.StatusCode != http.StatusConflict || resp.Header.Get("Retry-After-Ms") == "" {
 			return answer, err
 		}
@@ -243,7 +186,7 @@
 // checkRuns fails unless the key ran exactly once over all servers.
 func (c *cluster) checkRuns(ctx context.Context, key string) error {
 	total := 0
-	for _, s := range c.standins.Services {
+	for _, s := range c.Standins.Services {
 		_, answer, err := call(ctx, http.MethodGet, "http://"+s.Listen+standin.PathRuns, "", nil, nil)
 		if err != nil {
 			return err
@@ -266,7 +209,7 @@
 
 // stream sends a streamed request and calls onToken after each piece.
 func stream(ctx context.Context, address, prompt string, limit int, onToken func(n int)) (streamed, error) {
-	data, err := json.Marshal(chatBody(prompt, limit, true))
+	data, err := json.Marshal(testbed.ChatBody(prompt, limit, true))
 	if err != nil {
 		return streamed{}, err
 	}
@@ -274,7 +217,7 @@
 	if err != nil {
 		return streamed{}, err
 	}
-	req.Header.Set("Authorization", "Bearer "+teamKey)
+	req.Header.Set("Authorization", "Bearer "+testbed.TeamKey)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return streamed{}, err
@@ -319,7 +262,7 @@
 	prompt := "A long description of the harvest festival"
 	killed := ""
 	began := time.Now()
-	got, err := stream(ctx, c.vms[0].Address, prompt, limit, func(n int) {
+	got, err := stream(ctx, c.VMs[0].Address, prompt, limit, func(n int) {
 		if n == 10 {
 			killed = c.crashBusyEngine(ctx)
 		}
@@ -330,15 +273,15 @@
 	if killed == "" {
 		return errors.New("no stage was running")
 	}
-	if want := expected(prompt, limit); !got.whole || got.text != want {
+	if want := testbed.ExpectedText(prompt, limit); !got.whole || got.text != want {
 		return fmt.Errorf("wrong answer (whole %t): %q, want %q", got.whole, got.text, want)
 	}
 	fmt.Printf("%s was killed after 10 tokens; the answer is whole and right after %d ms\n", killed, time.Since(began).Milliseconds())
-	_, answer, err := call(ctx, http.MethodGet, "http://"+c.vms[1].Address+"/v1/requests/"+got.request, teamKey, nil, nil)
+	_, answer, err := call(ctx, http.MethodGet, "http://"+c.VMs[1].Address+"/v1/requests/"+got.request, testbed.TeamKey, nil, nil)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("explained by %s:\n", c.vms[1].VM)
+	fmt.Printf("explained by %s:\n", c.VMs[1].VM)
 	return printExplanation(answer)
 }
 
@@ -362,7 +305,7 @@
 
 // crashBusyEngine crashes an engine that runs a generation and returns its name.
 func (c *cluster) crashBusyEngine(ctx context.Context) string {
-	_, answer, err := call(ctx, http.MethodGet, "http://"+c.vms[0].Address+"/v1/status", operatorKey, nil, nil)
+	_, answer, err := call(ctx, http.MethodGet, "http://"+c.VMs[0].Address+"/v1/status", testbed.OperatorKey, nil, nil)
 	if err != nil {
 		return ""
 	}
@@ -377,7 +320,7 @@
 	}
 	for _, u := range status.Upstreams {
 		if u.InFlight > 0 && strings.HasPrefix(u.Upstream, "engine-") {
-			_, _, err := call(ctx, http.MethodPost, "http://"+c.standins.Control+standin.PathFaults+"/"+u.Upstream, "", nil, standin.Faults{Crashed: true})
+			_, _, err := call(ctx, http.MethodPost, "http://"+c.Standins.Control+standin.PathFaults+"/"+u.Upstream, "", nil, standin.Faults{Crashed: true})
 			if err == nil {
 				return u.Upstream
 			}
@@ -388,8 +331,8 @@
 
 // showCounters prints the refusals, retries and first-token times of all VMs.
 func showCounters(ctx context.Context, c *cluster) error {
-	for _, vm := range c.vms {
-		_, answer, err := call(ctx, http.MethodGet, "http://"+vm.Address+"/metrics", operatorKey, nil, nil)
+	for _, vm := range c.VMs {
+		_, answer, err := call(ctx, http.MethodGet, "http://"+vm.Address+"/metrics", testbed.OperatorKey, nil, nil)
 		if err != nil {
 			return err
 		}
@@ -410,7 +353,7 @@
 func drainUnderLoad(ctx context.Context, c *cluster) error {
 	const limit = 200
 	prompt := "Catalogue text for the last wreath of the season"
-	vm := c.vms[3]
+	vm := c.VMs[3]
 	late := make(chan error, 1)
 	got, err := stream(ctx, vm.Address, prompt, limit, func(n int) {
 		if n != 3 {
@@ -419,14 +362,14 @@
 		_ = c.process(3).Process.Signal(syscall.SIGTERM)
 		go func() {
 			time.Sleep(time.Second) // within the validity of 2 s
-			_, _, err := call(ctx, http.MethodPost, "http://"+vm.Address+"/v1/chat/completions", teamKey, nil, chatBody("late caller", 4, false))
+			_, _, err := call(ctx, http.MethodPost, "http://"+vm.Address+"/v1/chat/completions", testbed.TeamKey, nil, testbed.ChatBody("late caller", 4, false))
 			late <- err
 		}()
 	})
 	if err != nil {
 		return err
 	}
-	if want := expected(prompt, limit); !got.whole || got.text != want {
+	if want := testbed.ExpectedText(prompt, limit); !got.whole || got.text != want {
 		return fmt.Errorf("the stop cut the stream (whole %t)", got.whole)
 	}
 	if err := <-late; err != nil {
