Test the entry daemon end to end and mend what the tests found

Cause of each fault found: - Failed probes doubled the ejection, so an engine that was down for minutes stayed out for minutes more. Only an ejection after a return doubles it now. TestReturnSoonAfterLongOutage fails without the change and passes with it. - The fault injector hid the transport below it, so calls that need a new connection used pooled ones. Callers now wrap both transports again. - A client was made for each call of a plain service; its connections were never reused. Clients are kept by server and path. - A confirmation waited for a silent log up to its deadline (30 s); it is now refused as not run after 3 s with the time to come back. - The return of an upstream was logged on every tick.

--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -128,6 +128,7 @@
 		"fleet": map[string]any{
 			"operators": map[string]any{"key_hashes": []string{Hash(OperatorKey)}},
 			"address":   map[string]any{"valid_for": "2s"},
+			"outlier":   map[string]any{"ejection": "1s", "return_over": "1s"},
 		},
 		"model/" + string(ModelID):       map[string]any{"layers": ModelLayers, "version": ModelVersion, "bytes_per_layer": 1 << 20},
 		"team/" + string(TeamID):         map[string]any{"key_hashes": []string{Hash(TeamKey)}, "default_rank": "urgent"},
--- a/pkg/entry/confirm.go
+++ b/pkg/entry/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"time"
 
 	"github.com/cornelline/cornelline/pkg/confirm"
 	"github.com/cornelline/cornelline/pkg/replica"
@@ -54,9 +55,16 @@
 	return upstream.ServiceResponse{}, result.New(code, result.OutcomeUnknown, "%s", detail)
 }
 
+// claimWait bounds the wait for a claim to be read back. An append and a read
+// take tens of milliseconds; a log that needs longer than 3 s is as good as away,
+// and the caller is told at once to come back.
+const claimWait = 3 * time.Second
+
 // claimAndSend claims the key, sends the call once and records its outcome.
 // sent is closed just before the call is sent.
 func (c *serviceCall) claimAndSend(ctx context.Context, sent chan<- struct{}) (upstream.ServiceResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
 	request := replica.ClaimRequest{Team: c.team, Route: c.route, Key: c.keyText(), Body: sha256.Sum256(c.body)}
 	return confirm.Call(ctx, c.server.claims, request, func(context.Context) (upstream.ServiceResponse, error) {
 		c.note("claimed", "", "key "+c.keyText())
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -66,6 +66,16 @@
 	return s
 }
 
+// ejected reports whether the view shows the upstream as ejected.
+func (v *fleetView) ejected(id fleet.UpstreamID) bool {
+	for _, u := range v.upstreams {
+		if u.Upstream == id {
+			return u.Ejected
+		}
+	}
+	return false
+}
+
 // control owns all control state. Its fields are touched by the goroutine of
 // run only, except for events and view.
 type control struct {
@@ -173,7 +183,7 @@
 			c.server.stats.Count("ejected", "reason", a.Reason.String())
 			c.server.log.Log(event.UpstreamEjected).Str("upstream", string(a.Upstream)).Str("reason", a.Reason.String()).Send()
 		case outlier.Return:
-			c.server.log.Log(event.UpstreamReturned).Str("upstream", string(a.Upstream)).Float64("weight", a.Weight).Send()
+			c.returned(a)
 		case outlier.Spared:
 			c.server.stats.Count("ejection_spared")
 		}
@@ -181,6 +191,14 @@
 	c.actions = actions[:0]
 }
 
+// returned logs the begin and the end of a gradual return.
+func (c *control) returned(a outlier.Action) {
+	begins := c.view.Load().ejected(a.Upstream)
+	if begins || a.Weight >= 1 {
+		c.server.log.Log(event.UpstreamReturned).Str("upstream", string(a.Upstream)).Float64("weight", a.Weight).Send()
+	}
+}
+
 // probe asks the upstream for an answer over a new connection.
 func (c *control) probe(id fleet.UpstreamID) {
 	condition, ok := c.conditions[id]
--- /dev/null
+++ b/pkg/entry/fleet_test.go
@@ -0,0 +1,203 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cornelline/cornelline/internal/testbed"
+	"github.com/cornelline/cornelline/pkg/chat"
+	"github.com/cornelline/cornelline/pkg/cli"
+	"github.com/cornelline/cornelline/pkg/entry"
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/standin"
+)
+
+// giveUp ends a wait that hangs; no verdict depends on its length.
+const giveUp = 20 * time.Second
+
+// testFleet is a deployment running in the test process, over loopback.
+type testFleet struct {
+	*testbed.Deployment
+	group *standin.Group
+	stops []context.CancelFunc
+	done  sync.WaitGroup
+}
+
+// shared is the deployment that the tests of this package share. Each test
+// leaves it healthy.
+var shared *testFleet
+
+func TestMain(m *testing.M) {
+	f, err := startFleet()
+	if err != nil {
+		panic(err)
+	}
+	shared = f
+	code := m.Run()
+	f.stop()
+	os.Exit(code)
+}
+
+// startFleet starts the stand-ins and all entry VMs and puts the settings in force.
+func startFleet() (*testFleet, error) {
+	d, err := testbed.New()
+	if err != nil {
+		return nil, err
+	}
+	f := &testFleet{Deployment: d}
+	if f.group, err = standin.Start(d.Standins, standin.ListenTCP, nil); err != nil {
+		return nil, err
+	}
+	for i := range d.VMs {
+		if err := f.startVM(i); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.applySettings()
+}
+
+// startVM starts the i-th entry VM.
+func (f *testFleet) startVM(i int) error {
+	server, err := entry.New(f.VMs[i], event.Discard())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stops = append(f.stops, cancel)
+	f.done.Go(func() { _ = server.Run(ctx) })
+	return nil
+}
+
+func (f *testFleet) stop() {
+	for _, cancel := range f.stops {
+		cancel()
+	}
+	f.done.Wait()
+	f.group.Close()
+}
+
+// applySettings puts the tree through the first VM and waits until all VMs serve.
+func (f *testFleet) applySettings() error {
+	data, err := f.Settings()
+	if err != nil {
+		return err
+	}
+	branches, err := cli.DecodeBranches(data)
+	if err != nil {
+		return err
+	}
+	poll(func() bool { return f.get(0, "/readyz", "").status == http.StatusOK })
+	for _, b := range branches {
+		f.send(0, http.MethodPut, "/v1/settings/"+b.Path, testbed.OperatorKey, http.Header{"If-Match": {`"0"`}}, b.Value)
+	}
+	for i := range f.VMs {
+		poll(func() bool { return f.readyEngines(i) == len(f.Standins.Engines) })
+	}
+	return nil
+}
+
+// readyEngines returns the number of engines that a VM may use.
+func (f *testFleet) readyEngines(vm int) int {
+	var status struct {
+		Upstreams []struct {
+			Kind           string
+			Ready, Ejected bool
+		}
+	}
+	_ = json.Unmarshal(f.get(vm, "/v1/status", testbed.OperatorKey).body, &status)
+	n := 0
+	for _, u := range status.Upstreams {
+		if u.Kind == "engine" && u.Ready && !u.Ejected {
+			n++
+		}
+	}
+	return n
+}
+
+// faults switches the faults of a stand-in; the test's end switches all faults
+// off and waits until the engines serve again.
+func (f *testFleet) faults(t *testing.T, id string, faults standin.Faults) {
+	t.Helper()
+	f.group.Parts[id].SetFaults(faults)
+	t.Cleanup(func() {
+		for _, part := range f.group.Parts {
+			part.SetFaults(standin.Faults{})
+		}
+		for i := range f.VMs {
+			waitFor(t, func() bool { return f.readyEngines(i) == len(f.Standins.Engines) })
+		}
+	})
+}
+
+// answer is an HTTP answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// failure returns the numbered error of an answer.
+func (a answer) failure() chat.ErrorDetail {
+	var body chat.ErrorBody
+	_ = json.Unmarshal(a.body, &body)
+	return body.Error
+}
+
+func (f *testFleet) get(vm int, path, key string) answer {
+	return f.send(vm, http.MethodGet, path, key, nil, nil)
+}
+
+// send sends a request to a VM. A body that is no []byte is sent as JSON.
+func (f *testFleet) send(vm int, method, path, key string, header http.Header, body any) answer {
+	data, ok := body.([]byte)
+	if !ok && body != nil {
+		data, _ = json.Marshal(body)
+	}
+	req, err := http.NewRequest(method, "http://"+f.VMs[vm].Address+path, bytes.NewReader(data))
+	if err != nil {
+		return answer{err: err}
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err = io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, data, err}
+}
+
+// poll calls condition until it holds or the wait hangs.
+func poll(condition func() bool) bool {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	end := time.After(giveUp)
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-end:
+			return false
+		}
+	}
+	return true
+}
+
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	if !poll(condition) {
+		t.Fatalf("the awaited condition did not come about; the first VM says: %s", shared.get(0, "/v1/status", testbed.OperatorKey).body)
+	}
+}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -59,6 +59,7 @@
 	drain    *drainer
 	suspects *suspects
 	lengths  *lengths
+	services *serviceClients
 	offered  offeredSnapshot
 	current  atomic.Pointer[directory]
 
@@ -98,6 +99,7 @@
 	}
 	s.suspects = newSuspects(quarantine.DefaultConfig(), cfg.VM, s.tellSuspicion)
 	s.client = &http.Client{Transport: &rehearsal.Transport{Base: newTransport(), Injector: s.injector}}
+	s.services = newServiceClients(s.client)
 	s.connectPlatform()
 	s.current.Store(newDirectory(settings.Empty(), s.self))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -136,7 +136,7 @@
 	defer cancel()
 	began := time.Now()
 	target.Load.Sent(began)
-	service := upstream.NewHTTPService(target.Upstream, target.Address, c.view.Route.Path, c.server.client)
+	service := c.server.services.get(target.Upstream, target.Address, c.view.Route.Path)
 	c.note("send", target.Upstream, "")
 	answer, err := service.Call(ctx, upstream.ServiceRequest{RequestID: c.id, Route: c.route, Team: c.team, Key: c.keyText(), Body: c.body})
 	took := time.Since(began)
--- a/pkg/entry/upstreams.go
+++ b/pkg/entry/upstreams.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
@@ -12,6 +14,36 @@
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
 
+// serviceClients keeps one client for each server and path, so that calls of
+// repeatable routes share its connections.
+type serviceClients struct {
+	client  *http.Client
+	mu      sync.Mutex
+	clients map[serviceKey]upstream.Service
+}
+
+type serviceKey struct {
+	id            fleet.UpstreamID
+	address, path string
+}
+
+func newServiceClients(client *http.Client) *serviceClients {
+	return &serviceClients{client: client, clients: map[serviceKey]upstream.Service{}}
+}
+
+// get returns the client of a server for a path.
+func (c *serviceClients) get(id fleet.UpstreamID, address, path string) upstream.Service {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := serviceKey{id, address, path}
+	service, ok := c.clients[key]
+	if !ok {
+		service = upstream.NewHTTPService(id, address, path, c.client)
+		c.clients[key] = service
+	}
+	return service
+}
+
 // newCondition starts to follow an upstream; an engine's state and cache events
 // are polled until the condition is stopped.
 func (s *Server) newCondition(id fleet.UpstreamID, view *settings.View) *condition {
--- a/pkg/internal/httpcall/httpcall.go
+++ b/pkg/internal/httpcall/httpcall.go
@@ -24,6 +24,14 @@
 	fresh  *http.Client
 }
 
+// Wrapper is a RoundTripper around another one. A Caller makes its own pooled and
+// fresh transports from the inner one and wraps both again.
+type Wrapper interface {
+	http.RoundTripper
+	Unwrap() http.RoundTripper
+	Rewrap(inner http.RoundTripper) http.RoundTripper
+}
+
 // New returns a Caller for a peer given as "IP:port" or as a URL. It copies the
 // client: an *http.Transport is cloned, so that its connections belong to this
 // peer alone, and Client.Timeout is ignored because it would cut streams.
@@ -39,6 +47,10 @@
 	if transport == nil {
 		transport = http.DefaultTransport
 	}
+	rewrap := func(rt http.RoundTripper) http.RoundTripper { return rt }
+	if w, ok := transport.(Wrapper); ok {
+		transport, rewrap = w.Unwrap(), w.Rewrap
+	}
 	if t, ok := transport.(*http.Transport); ok {
 		shared := t.Clone()
 		if shared.MaxIdleConnsPerHost == 0 {
@@ -46,10 +58,10 @@
 		}
 		// A compressed stream would be held back in the compressor.
 		shared.DisableCompression = true
-		pooled.Transport = shared
+		pooled.Transport = rewrap(shared)
 		single := shared.Clone()
 		single.DisableKeepAlives = true
-		fresh.Transport = single
+		fresh.Transport = rewrap(single)
 	}
 	return &Caller{base: strings.TrimSuffix(base, "/"), pooled: pooled, fresh: fresh}
 }
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -289,18 +289,29 @@
 		u.failures = 0
 		return append(out, Action{Kind: Spared, Upstream: u.member.ID, Reason: why})
 	}
-	again := u.phase == ejected
+	if u.phase == ejected {
+		return d.stayEjected(now, u, confirmed, out)
+	}
 	u.phase, u.why = ejected, why
 	u.until = now.Add(min(d.cfg.BaseEjection<<min(u.ejections, 16), d.cfg.MaxEjection))
 	u.cleanAt = u.until
 	u.ejections++
 	u.failures = 0
-	if again {
-		return out
-	}
 	return append(out, Action{Kind: Eject, Upstream: u.member.ID, Reason: why})
 }
 
+// stayEjected schedules the next probe after a failed one. Only an ejection that
+// follows a return doubles the time: state polls of an upstream that stays down
+// would otherwise double it twice a second and keep it out for minutes after its
+// restart. Other failures of an ejected upstream are late news.
+func (d *Detector) stayEjected(now time.Time, u *state, probed bool, out []Action) []Action {
+	if probed {
+		u.until = now.Add(d.cfg.BaseEjection)
+		u.cleanAt = u.until
+	}
+	return out
+}
+
 // ramp raises the weight of a returning upstream from a tenth to 1.
 func (d *Detector) ramp(now time.Time, u *state, out []Action) []Action {
 	u.weight = 0.1 + 0.9*min(1, float64(now.Sub(u.since))/float64(max(d.cfg.Ramp, 1)))
--- /dev/null
+++ b/pkg/outlier/return_test.go
@@ -0,0 +1,49 @@
+package outlier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/outlier"
+)
+
+// runDown ticks a detector with a down upstream, whose polls and probes fail,
+// and returns the actions of the last tick.
+func runDown(d *outlier.Detector, from time.Time, down time.Duration, up func(time.Time) bool) time.Time {
+	for now := from; ; now = now.Add(100 * time.Millisecond) {
+		if now.Sub(from) < down {
+			d.Refused(now, "e1", nil)
+		}
+		for _, a := range d.Tick(now, nil) {
+			if a.Kind == outlier.Probe {
+				d.Probed(now, a.Upstream, up(now), nil)
+			}
+		}
+		if !d.Ejected("e1") || now.Sub(from) > time.Hour {
+			return now
+		}
+	}
+}
+
+// TestReturnSoonAfterLongOutage guards against an ejection that failed probes
+// lengthen: an upstream that was down for ten minutes must be back one base
+// ejection after it answers again.
+func TestReturnSoonAfterLongOutage(t *testing.T) {
+	is := is.New(t)
+	cfg := outlier.DefaultConfig()
+	d := outlier.New(cfg)
+	var members []outlier.Member
+	for _, id := range []fleet.UpstreamID{"e1", "e2", "e3"} {
+		members = append(members, outlier.Member{ID: id, Route: "stock"})
+	}
+	d.SetMembers(members)
+	start := time.Unix(1000, 0)
+	const down = 10 * time.Minute
+	d.Refused(start, "e1", nil)
+	is.True(d.Ejected("e1"))
+	back := runDown(d, start, down, func(now time.Time) bool { return now.Sub(start) >= down })
+	is.True(back.Sub(start) <= down+cfg.BaseEjection+200*time.Millisecond)
+}
--- a/pkg/rehearsal/transport.go
+++ b/pkg/rehearsal/transport.go
@@ -26,6 +26,21 @@
 	Injector *Injector
 }
 
+// Unwrap returns the transport below the injected faults.
+func (t *Transport) Unwrap() http.RoundTripper { return t.Base }
+
+// Rewrap returns a transport that injects the same faults above inner.
+func (t *Transport) Rewrap(inner http.RoundTripper) http.RoundTripper {
+	return &Transport{Base: inner, Injector: t.Injector}
+}
+
+// CloseIdleConnections closes the idle connections of the transport below.
+func (t *Transport) CloseIdleConnections() {
+	if idle, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		idle.CloseIdleConnections()
+	}
+}
+
 // RoundTrip carries out the request with the fault in force for its host.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	fault, until := t.Injector.faultFor(req.URL.Host)
