--- /dev/null
+++ b/pkg/pipeline/bench_test.go
@@ -0,0 +1,53 @@
+package pipeline_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/pipeline"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// endless is an engine whose stream yields right events at once.
+type endless struct {
+	upstream.Engine
+	event upstream.TokenEvent
+	last  int
+}
+
+func (e *endless) Generate(context.Context, upstream.GenerateRequest) (upstream.TokenStream, error) {
+	return e, nil
+}
+
+func (e *endless) Next(context.Context) (upstream.TokenEvent, error) {
+	event := e.event
+	e.event.Index++
+	if event.Index == e.last {
+		event.Final, event.FinishReason = true, "length"
+	}
+	return event, nil
+}
+
+func (e *endless) Close() error { return nil }
+
+type fixedPlan []pipeline.Stage
+
+func (p fixedPlan) Plan(context.Context, pipeline.Need) ([]pipeline.Stage, error) { return p, nil }
+
+type discard struct{}
+
+func (discard) Token(fleet.Token) error { return nil }
+
+// BenchmarkToken measures the cost of one token in Driver and Session without the HTTP client.
+func BenchmarkToken(b *testing.B) {
+	whole := fleet.LayerRange{First: 0, End: 1}
+	engine := &endless{last: b.N, event: upstream.TokenEvent{Session: "s", Attempt: 1, Receipts: []upstream.Receipt{{Upstream: "e", Layers: whole}}}}
+	chain := fixedPlan{{Ref: upstream.StageRef{Upstream: "e", Layers: whole}, Engine: engine}}
+	driver := pipeline.NewDriver(pipeline.Limits{}, nil, nil)
+	b.ReportAllocs()
+	request := pipeline.Request{Session: "s", Layers: 1, Prompt: []fleet.Token{1}, MaxTokens: b.N}
+	if _, err := driver.Run(b.Context(), request, chain, discard{}); err != nil {
+		b.Fatal(err)
+	}
+}
--- a/pkg/pipeline/recovery_test.go
+++ b/pkg/pipeline/recovery_test.go
@@ -115,6 +115,7 @@
 			perPosition, chosen, last.Recomputed, last.Imported, imported, rebuilt)
 		is.Equal(last.Imported > 0, imports)
 		is.Equal(chosen, min(imported, rebuilt))
+		is.Equal(chosen, floorOf(last, upstream.DefaultSilence, perPosition, ids("a1"), last.Accepted))
 	}
 }
 
--- a/pkg/pipeline/session.go
+++ b/pkg/pipeline/session.go
@@ -183,11 +183,11 @@
 // Accepted returns the number of tokens delivered.
 func (s *Session) Accepted() int { return len(s.accepted) }
 
-// Step applies an event and returns what must be done. Events that do not fit
-// the phase are ignored.
+// Step applies an event and returns what must be done; the slice is valid until
+// the next Step. Events that do not fit the phase are ignored.
 func (s *Session) Step(now time.Time, event Event) []Action {
 	s.now = now
-	s.actions = nil
+	s.actions = s.actions[:0]
 	switch e := event.(type) {
 	case Begin:
 		s.when(idle, s.askPlan)
--- a/pkg/pipeline/session_test.go
+++ b/pkg/pipeline/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -15,6 +16,12 @@
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
 
+// The same cases run each time; the command line can ask for others.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "3000")
+}
+
 // goodToken is the right token for an index; every wrong event carries another.
 func goodToken(index int) fleet.Token { return fleet.Token(1000 + index) }
 
--- a/pkg/standin/engine_http.go
+++ b/pkg/standin/engine_http.go
@@ -27,29 +27,36 @@
 		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 		writeJSON(w, http.StatusOK, e.cache.after(after, time.Duration(e.config.CacheEventLag)))
 	})
-	handle(mux, upstream.PathCancel, func(_ context.Context, req upstream.CancelRequest) (any, error) {
+	handle(e, mux, upstream.PathCancel, func(_ context.Context, req upstream.CancelRequest) (any, error) {
 		e.cancel(req.Session, req.Attempt)
 		return struct{}{}, nil
 	})
-	handle(mux, upstream.PathExportKV, func(ctx context.Context, req upstream.ExportRequest) (any, error) {
+	handle(e, mux, upstream.PathExportKV, func(ctx context.Context, req upstream.ExportRequest) (any, error) {
 		return e.exportKV(ctx, req)
 	})
-	handle(mux, upstream.PathImportKV, func(ctx context.Context, cache upstream.KVCache) (any, error) {
+	handle(e, mux, upstream.PathImportKV, func(ctx context.Context, cache upstream.KVCache) (any, error) {
 		return struct{}{}, e.importKV(ctx, cache)
 	})
-	handle(mux, upstream.PathOrder, func(_ context.Context, order upstream.Order) (any, error) {
+	handle(e, mux, upstream.PathOrder, func(_ context.Context, order upstream.Order) (any, error) {
 		return struct{}{}, e.order(order)
 	})
 	return mux
 }
 
-// handle adds a POST route with a JSON body.
-func handle[T any](mux *http.ServeMux, path string, run func(context.Context, T) (any, error)) {
+// handle adds a POST route with a JSON body, whose answer a fault can lose.
+func handle[T any](e *Engine, mux *http.ServeMux, path string, run func(context.Context, T) (any, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var body T
-		if readJSON(w, r, &body) {
-			answer(w, func() (any, error) { return run(r.Context(), body) })
+		if !readJSON(w, r, &body) {
+			return
 		}
+		answer(w, func() (any, error) {
+			result, err := run(r.Context(), body)
+			if e.Faults().LoseAnswers {
+				panic(http.ErrAbortHandler)
+			}
+			return result, err
+		})
 	})
 }
 
--- a/pkg/upstream/http_test.go
+++ b/pkg/upstream/http_test.go
@@ -95,8 +95,10 @@
 		_, failure = call(ctx, client, "r-1", "k1")
 		is.True(failure == nil)
 		is.Equal(service.Runs().ByKey["k1"], 1)
+		start := time.Now()
 		_, failure = call(ctx, client, "r-1", "")
 		is.True(errors.Is(failure, upstream.ErrSilent))
+		is.Equal(time.Since(start), upstream.DefaultSilence)
 		_, failure = call(ctx, client, "r-1", "")
 		is.True(failure == nil) // the silent connections are no longer used
 	})
