--- a/pkg/standin/chain.go
+++ b/pkg/standin/chain.go
@@ -93,7 +93,9 @@
 	if err := e.crashOrStall(ctx, req); err != nil {
 		return nil, err
 	}
-	ctx, stop := context.WithCancel(ctx)
+	life := e.lifetime()
+	caller := ctx
+	ctx, stop := context.WithCancel(caller)
 	defer stop()
 	s, change, err := e.enter(req, stop)
 	if err != nil {
@@ -103,6 +105,9 @@
 	e.batch.add(e, w)
 	if !e.await(ctx, w.done, beat) {
 		e.leave(s, change)
+		if life.Err() != nil || caller.Err() != nil {
+			return nil, context.Canceled
+		}
 		return nil, refuse(upstream.RefusedAttempt, "session %s attempt %d was ended", req.Session, req.Attempt)
 	}
 	return e.compute(s, change, req)
