--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -70,12 +70,15 @@
 	keyMillis int64
 	// body is the start of the body's hash.
 	body uint64
-	// done is the offset of the valid done record, 0 while the claim is pending.
+	// done is the offset of the valid done record, 0 while the claim is pending,
+	// with notRunBit set when the record states that nothing was sent.
 	done uint64
-	// notRun is set when the done record states that nothing was sent.
-	notRun bool
 }
 
+// notRunBit shares the word of the offset, because a field of its own would
+// lengthen each entry by 8 bytes.
+const notRunBit = 1 << 63
+
 // open is what the register keeps beside the entry while a claim is pending.
 type open struct {
 	id     record.ID
@@ -133,7 +136,10 @@
 		return false
 	}
 	e := r.entries[ref]
-	e.done, e.notRun = offset, d.NotRun
+	e.done = offset
+	if d.NotRun {
+		e.done |= notRunBit
+	}
 	r.entries[ref] = e
 	delete(r.open, ref)
 	delete(r.refs, d.Claim)
@@ -210,7 +216,7 @@
 		return Info{Status: Free}
 	case e.body != bodyOf(body):
 		return Info{Status: Reused}
-	case e.notRun:
+	case e.done&notRunBit != 0:
 		return Info{Status: Abandoned}
 	case e.done != 0:
 		return Info{Status: Finished, DoneOffset: e.done}
@@ -236,8 +242,8 @@
 	Since int64 `msgpack:"s"`
 }
 
-// savedSize is the length of one claim in Saved.Entries: Ref, key time, body, done offset, flag.
-const savedSize = 16 + 8 + 8 + 8 + 1
+// savedSize is the length of one claim in Saved.Entries: Ref, key time, body, done offset.
+const savedSize = 16 + 8 + 8 + 8
 
 // Save returns the register's content. Equal registers give equal results.
 func (r *Register) Save() Saved {
@@ -260,11 +266,7 @@
 	b = append(b, ref[:]...)
 	b = binary.BigEndian.AppendUint64(b, uint64(e.keyMillis))
 	b = binary.BigEndian.AppendUint64(b, e.body)
-	b = binary.BigEndian.AppendUint64(b, e.done)
-	if e.notRun {
-		return append(b, 1)
-	}
-	return append(b, 0)
+	return binary.BigEndian.AppendUint64(b, e.done)
 }
 
 // Restore returns the register of a snapshot.
@@ -277,7 +279,7 @@
 	for b := s.Entries; len(b) > 0; b = b[savedSize:] {
 		r.entries[Ref(b[:16])] = entry{
 			keyMillis: int64(binary.BigEndian.Uint64(b[16:])), body: binary.BigEndian.Uint64(b[24:]),
-			done: binary.BigEndian.Uint64(b[32:]), notRun: b[40] != 0,
+			done: binary.BigEndian.Uint64(b[32:]),
 		}
 	}
 	for _, o := range s.Open {
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,52 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/record"
+)
+
+// TestApply guards against two holders of one epoch and an epoch that goes back.
+func TestApply(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table, ok := table.Apply(&record.Lease{Resource: "r", Holder: "a"}, 1)
+	is.True(ok)
+	same, ok := table.Apply(&record.Lease{Resource: "r", Holder: "b"}, 2)
+	is.True(!ok)
+	is.Equal(same.Get("r"), Entry{Epoch: 1, Holder: "a", Offset: 1})
+	next, ok := table.Apply(&record.Lease{Resource: "r", Holder: "b", Base: 1}, 3)
+	is.True(ok)
+	is.Equal(next.Get("r"), Entry{Epoch: 2, Holder: "b", Offset: 3})
+	is.Equal(table.Get("r").Epoch, uint64(1))
+	is.Equal(Restore(next.Save()).Get("r"), next.Get("r"))
+}
+
+// TestNext guards against a VM that takes a lease whose period hasn't passed,
+// and a holder that lets its own run out.
+func TestNext(t *testing.T) {
+	seen := time.Unix(100, 0)
+	for _, row := range []struct {
+		entry Entry
+		me    fleet.VMID
+		age   time.Duration
+		want  Move
+	}{
+		{Entry{}, "a", 0, Take},
+		{Entry{Epoch: 1, Holder: "b"}, "a", 5 * time.Second, Wait},
+		{Entry{Epoch: 1, Holder: "b"}, "a", 10 * time.Second, Take},
+		{Entry{Epoch: 1, Holder: "a"}, "a", time.Second, Hold},
+		{Entry{Epoch: 1, Holder: "a"}, "a", 4 * time.Second, Renew},
+	} {
+		if got := Next(row.entry, row.me, seen, seen.Add(row.age), 10*time.Second); got != row.want {
+			t.Errorf("%+v: got %v", row, got)
+		}
+	}
+	if MayAct(seen, seen.Add(10*time.Second), 10*time.Second) {
+		t.Error("a holder acts after its period")
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -155,6 +155,8 @@
 	// abandoned is set when nobody waits for the verdict any more.
 	abandoned bool
 	snapshot  bool
+	// internal is set for records that the replica itself proposes.
+	internal bool
 	// skipped is set when a restored snapshot may cover the record: a void
 	// verdict on a repetition then doesn't say what became of the first.
 	skipped bool
@@ -276,7 +278,7 @@
 	id := r.cfg.NewID()
 	data, err := record.Encode(record.Record{ID: id, Kind: record.KindDone, Done: &record.Done{Claim: claimID, NotRun: true}})
 	if err == nil {
-		r.proposals = append(r.proposals, &proposal{id: id, data: data})
+		r.proposals = append(r.proposals, &proposal{id: id, data: data, internal: true})
 	}
 }
 
@@ -563,7 +565,7 @@
 		v.Reason = Counted
 	}
 	switch {
-	case p.abandoned, p.snapshot:
+	case p.abandoned, p.internal:
 	case p.skipped && !v.Valid():
 		r.emit(UndecidedAction{ID: p.id, Sent: true})
 	default:
@@ -673,7 +675,7 @@
 		return
 	}
 	r.snapshotID = id
-	r.proposals = append(r.proposals, &proposal{id: id, data: data, snapshot: true})
+	r.proposals = append(r.proposals, &proposal{id: id, data: data, snapshot: true, internal: true})
 }
 
 func (r *Replica) snapshotQueued() bool {
