--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -58,7 +58,9 @@
 	// maxBatchBytes bounds one append. A single larger record, such as a snapshot, is appended alone.
 	maxBatchBytes = 512 << 10
 	// maxInterval bounds how far refusals for rate stretch the interval between appends.
-	maxInterval = 320 * time.Millisecond
+	maxInterval = 160 * time.Millisecond
+	// rateGrowth is how fast a VM raises its append rate after a refusal, in appends/s per second.
+	rateGrowth = 50
 	// chainMemory is the number of offsets whose chain is kept to compare snapshots with.
 	chainMemory = 4096
 )
@@ -354,12 +356,13 @@
 	r.appendsDone++
 	switch {
 	case err == nil:
-		r.interval = max(r.p.BatchInterval, r.interval*9/10)
+		r.speedUp()
 		r.settle(appended, true)
 		r.wantRead = true
 		r.setLog(true, nil)
 	case errors.Is(err, platform.ErrRateLimited):
-		r.interval = min(maxInterval, 2*max(r.interval, time.Millisecond))
+		// A factor of 2 kept VMs in step, so that one of them was refused again and again.
+		r.interval = min(maxInterval, max(r.interval, time.Millisecond)*3/2)
 		r.settle(queued, false)
 	default:
 		r.settle(unknown, true)
@@ -369,6 +372,15 @@
 	return r.flush(now)
 }
 
+// speedUp raises the append rate by rateGrowth for the time that the interval
+// lasted. Growing by time and not by append lets VMs that share a limit approach
+// the same rate; with growth by append a refused VM waited for seconds.
+func (r *Replica) speedUp() {
+	seconds := r.interval.Seconds()
+	faster := time.Duration(seconds / (1 + rateGrowth*seconds*seconds) * float64(time.Second))
+	r.interval = max(r.p.BatchInterval, faster)
+}
+
 // settle moves the proposals of the append in flight to a phase.
 func (r *Replica) settle(to phase, sent bool) {
 	for _, p := range r.proposals {
--- a/pkg/replica/runner_test.go
+++ b/pkg/replica/runner_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
+	"golang.org/x/time/rate"
 
 	"github.com/cornelline/cornelline/pkg/platform"
 	"github.com/cornelline/cornelline/pkg/record"
@@ -24,9 +25,7 @@
 	records []platform.Record
 	first   uint64
 	latency time.Duration
-	// gap is the least time between two accepted appends; 0 for no limit.
-	gap  time.Duration
-	last time.Time
+	limit   *rate.Limiter // nil for none
 	// loseAnswers and refuse fault the next appends: an append whose answer is
 	// lost takes effect, a refused one doesn't.
 	loseAnswers, dropCalls int
@@ -42,13 +41,12 @@
 	switch {
 	case l.down:
 		return 0, platform.ErrUnavailable
-	case l.gap > 0 && now.Sub(l.last) < l.gap:
+	case l.limit != nil && !l.limit.Allow():
 		return 0, platform.ErrRateLimited
 	case l.dropCalls > 0:
 		l.dropCalls--
 		return 0, platform.ErrUnavailable
 	}
-	l.last = now
 	l.appends++
 	first := uint64(len(l.records)) + 1
 	for i, data := range records {
