outlier: probe after any failure, keep the last way without answers; tests

Cause: with low traffic a lost upstream stayed in use until three requests failed; probes without an answer could eject every upstream when this VM's network fails. Change: a failed request asks for a probe; an unanswered probe ejects within the timeout but never the last chain, which only refused connections do. retry: a refusal names at least 1 ms (found by TestBudgetBound: 0 s after rounding).

--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -4,11 +4,13 @@
 //
 // Invariants:
 //   - failures and latency never eject more than MaxEjected of the upstreams
-//     with the same duty, nor the last chain that covers a model's layers;
-//   - only a refused connection that a probe confirms ejects the last chain: that
-//     upstream is down, so keeping it serves nobody;
+//     with the same duty;
+//   - only refused connections, twice, eject an upstream without which no chain
+//     covers a model's layers: it is down, so keeping it serves nobody. Probes
+//     without an answer do not, as the fault may be this VM's own network;
 //   - an upstream whose connection went silent is probed over a new connection
-//     before it is blamed;
+//     before it is blamed, and any failed request asks for a probe, so that a lost
+//     upstream is ejected within the probe timeout even when traffic is low;
 //   - an ejected upstream returns only after a successful probe, and its weight
 //     then rises gradually.
 package outlier
@@ -190,7 +192,10 @@
 	}
 	u.failures++
 	if u.phase == returning || u.failures >= d.cfg.Consecutive {
-		return d.eject(now, u, ReasonFailures, false, out)
+		return d.eject(now, u, ReasonFailures, unsure, out)
+	}
+	if u.phase == healthy {
+		return d.probe(now, u, ReasonFailures, out)
 	}
 	return out
 }
@@ -205,7 +210,7 @@
 	if d.lastWay(u) {
 		return d.probe(now, u, ReasonRefused, out)
 	}
-	return d.eject(now, u, ReasonRefused, true, out)
+	return d.eject(now, u, ReasonRefused, down, out)
 }
 
 // Silent books a connection that went silent; the upstream is probed before it is blamed.
@@ -217,7 +222,9 @@
 	return d.probe(now, u, ReasonSilent, out)
 }
 
-// Probed books the answer of a probe over a new connection.
+// Probed books the end of a probe over a new connection: ok when the upstream
+// answered, not ok when it refused the connection. A probe without an answer is
+// not booked; Tick counts it after ProbeTimeout.
 func (d *Detector) Probed(now time.Time, id fleet.UpstreamID, ok bool, out []Action) []Action {
 	u := d.ups[id]
 	if u == nil || !u.probing {
@@ -225,25 +232,24 @@
 	}
 	u.probing = false
 	if !ok {
-		return d.eject(now, u, u.why, true, out)
+		return d.eject(now, u, u.why, down, out)
 	}
-	u.failures = 0
 	if u.phase != ejected {
 		return out // the connection was at fault, not the upstream
 	}
-	u.phase, u.since = returning, now
+	u.phase, u.since, u.failures = returning, now, 0
 	u.mean, u.samples = 0, 0
 	return d.ramp(now, u, out)
 }
 
 // Tick ends ejections, raises weights, judges latencies and times out probes. It
-// is called about once a second; probe timeouts are as exact as its calls.
+// is called at least every 200 ms; probe timeouts are as exact as its calls.
 func (d *Detector) Tick(now time.Time, out []Action) []Action {
 	for _, u := range d.order {
 		switch {
 		case u.probing && now.Sub(u.probedAt) >= d.cfg.ProbeTimeout:
 			u.probing = false
-			out = d.eject(now, u, u.why, true, out)
+			out = d.eject(now, u, u.why, silent, out)
 		case u.phase == ejected && !u.probing && !now.Before(u.until):
 			out = d.probe(now, u, u.why, out)
 		case u.phase == returning:
@@ -282,10 +288,19 @@
 	return append(out, Action{Kind: Probe, Upstream: u.member.ID, Reason: why})
 }
 
-// eject takes the upstream out of service. Confirmed is set when a refused
-// connection or a probe shows that it is down; the cap then does not apply.
-func (d *Detector) eject(now time.Time, u *state, why Reason, confirmed bool, out []Action) []Action {
-	if !confirmed && u.phase != ejected && (d.overCap(u) || d.lastWay(u)) {
+// evidence says how sure it is that an upstream is down.
+type evidence uint8
+
+const (
+	unsure evidence = iota // requests failed or were slow
+	silent                 // a probe got no answer
+	down                   // a connection was refused
+)
+
+// eject takes the upstream out of service unless the cap for the evidence keeps it.
+func (d *Detector) eject(now time.Time, u *state, why Reason, sure evidence, out []Action) []Action {
+	capped := sure == unsure && d.overCap(u) || sure != down && d.lastWay(u)
+	if u.phase != ejected && capped {
 		u.failures = 0
 		return append(out, Action{Kind: Spared, Upstream: u.member.ID, Reason: why})
 	}
@@ -381,7 +396,7 @@
 		}
 		if u.mean > d.cfg.LatencyFactor*peers[(len(peers)-1)/2] {
 			u.samples, u.mean = 0, 0
-			out = d.eject(now, u, ReasonLatency, false, out)
+			out = d.eject(now, u, ReasonLatency, unsure, out)
 		}
 	}
 	return out
--- /dev/null
+++ b/pkg/outlier/outlier_test.go
@@ -0,0 +1,187 @@
+package outlier_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/outlier"
+)
+
+var epoch = time.Unix(1e9, 0)
+
+// halves returns n engines for each half of a model of 40 layers: a0.., b0..
+func halves(n int) []outlier.Member {
+	var members []outlier.Member
+	for i := range n {
+		for h, name := range []string{"a", "b"} {
+			members = append(members, outlier.Member{ID: fleet.UpstreamID(fmt.Sprint(name, i)), Model: "m",
+				Layers: fleet.LayerRange{First: 20 * h, End: 20*h + 20}, ModelLayers: 40})
+		}
+	}
+	return members
+}
+
+func newDetector(n int) *outlier.Detector {
+	d := outlier.New(outlier.DefaultConfig())
+	d.SetMembers(halves(n))
+	return d
+}
+
+// TestRefusedEjectsAtOnce guards against sending new work to an upstream that
+// refuses connections.
+func TestRefusedEjectsAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(3)
+	out := d.Refused(epoch, "a0", nil)
+	is.Equal(out, []outlier.Action{{Kind: outlier.Eject, Upstream: "a0", Reason: outlier.ReasonRefused}})
+	is.True(d.Ejected("a0"))
+	is.Equal(d.Weight("a0"), 0.0)
+}
+
+// TestFailureIsProbed guards against a lost upstream that stays in use because
+// too few requests reach it to count three failures.
+func TestFailureIsProbed(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(3)
+	is.Equal(d.Failed(epoch, "a0", nil)[0].Kind, outlier.Probe)
+	is.Equal(len(d.Tick(epoch.Add(200*time.Millisecond), nil)), 0)
+	is.Equal(d.Tick(epoch.Add(600*time.Millisecond), nil)[0].Kind, outlier.Eject)
+}
+
+// TestConsecutiveFailures guards against an upstream that answers probes and
+// fails every request.
+func TestConsecutiveFailures(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(3)
+	d.Failed(epoch, "a0", nil)
+	d.Probed(epoch, "a0", true, nil)
+	d.Failed(epoch, "a0", nil)
+	d.Probed(epoch, "a0", true, nil)
+	is.True(!d.Ejected("a0"))
+	d.Failed(epoch, "a0", nil)
+	is.True(d.Ejected("a0"))
+}
+
+// TestSilentIsProbedFirst guards against blaming an upstream for a connection
+// that went silent.
+func TestSilentIsProbedFirst(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(3)
+	is.Equal(d.Silent(epoch, "a0", nil), []outlier.Action{{Kind: outlier.Probe, Upstream: "a0", Reason: outlier.ReasonSilent}})
+	is.True(!d.Ejected("a0"))
+	is.Equal(len(d.Probed(epoch, "a0", true, nil)), 0)
+	d.Silent(epoch, "a1", nil)
+	d.Probed(epoch, "a1", false, nil)
+	is.True(!d.Ejected("a0"))
+	is.True(d.Ejected("a1"))
+}
+
+// TestLatencyOutlier guards against keeping an upstream several times slower
+// than its peers, and against blaming all when all are slow.
+func TestLatencyOutlier(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(5)
+	for range 50 {
+		for i := range 5 {
+			latency := 10 * time.Millisecond
+			if i == 3 {
+				latency = 50 * time.Millisecond
+			}
+			d.Succeeded(epoch, fleet.UpstreamID(fmt.Sprint("a", i)), latency, nil)
+			d.Succeeded(epoch, fleet.UpstreamID(fmt.Sprint("b", i)), 50*time.Millisecond, nil)
+		}
+	}
+	is.Equal(d.Tick(epoch, nil), []outlier.Action{{Kind: outlier.Eject, Upstream: "a3", Reason: outlier.ReasonLatency}})
+}
+
+// TestGradualReturn guards against a return without a probe, at full weight at
+// once, and against a flapping upstream that is tried again ever so soon.
+func TestGradualReturn(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(3)
+	now := epoch
+	var away time.Duration
+	for round := range 4 {
+		d.Refused(now, "a0", nil)
+		from := now
+		for {
+			now = now.Add(200 * time.Millisecond)
+			if out := d.Tick(now, nil); len(out) > 0 {
+				is.Equal(out[0].Kind, outlier.Probe)
+				break
+			}
+		}
+		is.True(round == 0 || now.Sub(from) > 3*away/2) // the ejections grow
+		away = now.Sub(from)
+		out := d.Probed(now, "a0", true, nil)
+		is.Equal(out[0].Kind, outlier.Return)
+		is.True(d.Weight("a0") <= 0.1)
+	}
+	weight := d.Weight("a0")
+	for range 12 {
+		now = now.Add(time.Second)
+		d.Tick(now, nil)
+		is.True(d.Weight("a0") >= weight)
+		weight = d.Weight("a0")
+	}
+	is.Equal(weight, 1.0)
+}
+
+// TestCap guards against ejecting into collapse: whatever failures, slow answers
+// and unanswered probes come in, a chain over all layers stays in service, and
+// failures and slow answers alone eject at most half of each range.
+func TestCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 4).Draw(t, "engines of each half")
+		lost := rapid.Bool().Draw(t, "with unanswered probes")
+		d := newDetector(n)
+		now := epoch
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			id := fleet.UpstreamID(fmt.Sprint(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "half"), rapid.IntRange(0, n-1).Draw(t, "engine")))
+			var out []outlier.Action
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				out = d.Failed(now, id, nil)
+			case 1:
+				out = d.Succeeded(now, id, time.Duration(rapid.IntRange(1, 500).Draw(t, "latency"))*time.Millisecond, nil)
+			case 2:
+				out = d.Silent(now, id, nil)
+			case 3:
+				out = d.Tick(now, nil)
+			}
+			for i := 0; i < len(out); i++ {
+				if out[i].Kind == outlier.Probe && !lost {
+					out = d.Probed(now, out[i].Upstream, true, out)
+				}
+			}
+			for _, half := range []string{"a", "b"} {
+				ejected := 0
+				for i := range n {
+					if d.Ejected(fleet.UpstreamID(fmt.Sprint(half, i))) {
+						ejected++
+					}
+				}
+				if ejected == n || !lost && 2*ejected > n {
+					t.Fatalf("%d of %d of half %s ejected", ejected, n, half)
+				}
+			}
+		}
+	})
+}
+
+// TestLastWayNeedsTwoRefusals guards against taking the only chain out of service
+// for one refused connection, and against keeping one that is down.
+func TestLastWayNeedsTwoRefusals(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(1)
+	is.Equal(d.Refused(epoch, "a0", nil)[0].Kind, outlier.Probe)
+	is.True(!d.Ejected("a0"))
+	d.Probed(epoch, "a0", false, nil)
+	is.True(d.Ejected("a0"))
+}
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -66,7 +66,8 @@
 		return true, 0
 	}
 	missing := 1 - min(t.tokens, u.tokens)
-	return false, time.Duration(missing / max(b.cfg.MinPerSecond, 0.01) * float64(time.Second))
+	wait := time.Duration(missing / max(b.cfg.MinPerSecond, 0.01) * float64(time.Second))
+	return false, max(wait, time.Millisecond)
 }
 
 // Prune forgets buckets that have not been used for long enough to be full.
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,67 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/retry"
+)
+
+// TestBudgetBound guards against retries that multiply the load: for each team
+// and upstream they stay within the ratio of successes, the minimum and the burst.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := retry.DefaultConfig()
+		b := retry.New(cfg)
+		start := time.Unix(1e9, 0)
+		now := start
+		granted, succeeded := map[string]float64{}, map[string]float64{}
+		for range rapid.IntRange(1, 500).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			team := rapid.SampledFrom([]string{"t1", "t2"}).Draw(t, "team")
+			up := rapid.SampledFrom([]string{"u1", "u2", "u3"}).Draw(t, "upstream")
+			if rapid.Bool().Draw(t, "success") {
+				b.Success(now, fleet.TeamID(team), fleet.UpstreamID(up))
+				succeeded[team]++
+				succeeded[up]++
+				continue
+			}
+			if ok, after := b.Allow(now, fleet.TeamID(team), fleet.UpstreamID(up)); ok {
+				granted[team]++
+				granted[up]++
+			} else if after <= 0 {
+				t.Fatal("refused without a time")
+			}
+		}
+		for key, n := range granted {
+			if bound := cfg.Burst + cfg.Ratio*succeeded[key] + cfg.MinPerSecond*now.Sub(start).Seconds(); n > bound+1e-6 {
+				t.Fatalf("%s: %v retries, bound %v", key, n, bound)
+			}
+		}
+	})
+}
+
+// TestRefusalTakesNothing guards against a team that loses budget to another
+// team's exhausted upstream, and against a wrong time to come back.
+func TestRefusalTakesNothing(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(retry.Config{Ratio: 0.1, MinPerSecond: 1, Burst: 2})
+	now := time.Unix(1e9, 0)
+	for range 2 {
+		ok, _ := b.Allow(now, "other", "down")
+		is.True(ok)
+	}
+	ok, after := b.Allow(now, "mine", "down")
+	is.True(!ok)
+	is.Equal(after, time.Second)
+	for range 2 {
+		ok, _ = b.Allow(now, "mine", "up")
+		is.True(ok)
+	}
+	ok, _ = b.Allow(now.Add(after), "third", "down")
+	is.True(ok)
+}
