--- a/pkg/bench/sim.go
+++ b/pkg/bench/sim.go
@@ -436,13 +436,10 @@
 
 // hop returns the seconds of one link crossing.
 func (s *sim) hop(a, b int) float64 {
-	if a == b {
-		return linkNear
-	}
 	if s.slow && a+b == 1 { // between the data centres 0 and 1
 		return 100 * linkFar
 	}
-	return linkFar
+	return linkTime(a, b)
 }
 
 func (s *sim) measuredLinks() []route.Link {
