--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -18,12 +18,13 @@
 	Ratio float64
 	// MinPerSecond is earned without any success, so that a quiet team can retry.
 	MinPerSecond float64
-	// Burst bounds the saved retries.
+	// Burst bounds the saved retries. The loss of a data centre breaks most
+	// generations of a VM at once, so it covers a VM's share of the batch slots.
 	Burst float64
 }
 
 // DefaultConfig returns the documented defaults.
-func DefaultConfig() Config { return Config{Ratio: 0.1, MinPerSecond: 0.5, Burst: 10} }
+func DefaultConfig() Config { return Config{Ratio: 0.1, MinPerSecond: 0.5, Burst: 40} }
 
 // idleAfter is when a bucket is full again in any case and can be forgotten.
 const idleAfter = 10 * time.Minute
