--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -15,7 +15,7 @@
 
 // shareMargin covers what a rank loses between being owed a start and a slot
 // becoming free; without it a backlogged rank gets 94 to 99% of its share.
-const shareMargin = 1.12
+const shareMargin = 1.08
 
 // withinMargin is how far the measured rate of lookups may exceed their share
 // before they count as over it: over a few seconds the rate of short requests
@@ -140,13 +140,7 @@
 	within := r != fleet.Overnight && p.usedRate(r) < p.entitled(cfg, r)*p.rate()
 	if owed || within {
 		// At least one, so that a pipeline of few slots also lets them overtake.
-		depth := max(1, int(cfg.Depth*float64(p.slots)))
-		if r == fleet.Urgent && !owed && p.level[fleet.Lookup] >= 0.01 {
-			// At the start of an urgent flood the rate does not show it yet; a
-			// quarter of the depth stays for lookups until it does.
-			depth -= depth / 4
-		}
-		return p.total < p.slots+depth
+		return p.total < p.slots+max(1, int(cfg.Depth*float64(p.slots)))
 	}
 	kept := 0
 	for k := range fleet.Rank(fleet.RankCount) {
