--- a/pkg/placement/adapters.go
+++ b/pkg/placement/adapters.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
@@ -10,10 +12,6 @@
 // maxAdapterShare is the largest part of an engine's memory that adapters take.
 const maxAdapterShare = 0.1
 
-// minAdapterReplicas is the least number of engines for each layer that hold an adapter
-// with any demand, so that the loss of one engine does not take it away.
-const minAdapterReplicas = 2
-
 // adapterMemoryShare returns the part of an engine's memory that is kept for
 // the model's adapters: what all of them need, up to maxAdapterShare.
 func adapterMemoryShare(m Model) float64 {
@@ -33,11 +31,15 @@
 	return a.Bytes * float64(layers.Len()) / float64(m.Layers)
 }
 
-// assignAdapters gives each stage adapters by demand. An adapter is on engines
-// with at least its share of each layer's rate, and at least on
-// minAdapterReplicas engines while memory allows. Adapters that an engine holds
-// already are preferred, so that a small change of demand loads nothing.
-func assignAdapters(m Model, stages []stage, engines []Engine) map[int][]string {
+// assignAdapters gives each stage adapters by demand: each adapter is on
+// complete chains with at least its share of the model's throughput, and on two
+// chains without a common engine while memory allows. Adapters that an engine
+// holds already are preferred, so that a small change of demand loads nothing.
+func assignAdapters(m Model, stages []stage, engines []Engine, links [][]float64) map[int][]string {
+	if len(m.Adapters) == 0 {
+		return nil
+	}
+	total, _ := newChainGraph(stages, m.Layers, len(links), links).throughput()
 	wanted := map[int][]string{}
 	free := map[int]float64{}
 	for _, s := range stages {
@@ -46,8 +48,14 @@
 	adapters := slices.Clone(m.Adapters)
 	slices.SortStableFunc(adapters, func(a, b Adapter) int { return cmp.Compare(b.Demand, a.Demand) })
 	for _, a := range adapters {
-		if a.Demand > 0 {
-			placeAdapter(m, a, stages, engines, free, wanted)
+		if a.Demand <= 0 {
+			continue
+		}
+		s := adapterSearch{model: m, adapter: a, stages: stages, engines: engines, links: links, free: free}
+		for _, n := range s.place(a.Demand * total) {
+			engine := stages[n].engine
+			free[engine] -= adapterBytes(m, a, stages[n].layers)
+			wanted[engine] = append(wanted[engine], a.Name)
 		}
 	}
 	for i := range wanted {
@@ -56,55 +64,132 @@
 	return wanted
 }
 
-// placeAdapter puts one adapter on stages until each layer has enough of its rate.
-func placeAdapter(m Model, a Adapter, stages []stage, engines []Engine, free map[int]float64, wanted map[int][]string) {
-	rates, total := make([]float64, m.Layers), make([]float64, m.Layers)
-	count := make([]int, m.Layers)
-	for _, s := range stages {
-		for l := s.layers.First; l < s.layers.End; l++ {
-			total[l] += s.rate
-		}
+// adapterSearch places one adapter chain by chain.
+type adapterSearch struct {
+	model   Model
+	adapter Adapter
+	stages  []stage
+	engines []Engine
+	links   [][]float64
+	free    map[int]float64
+	left    []float64 // rate of each stage not used by chains so far
+	chosen  map[int]bool
+}
+
+// place returns the stages that are to hold the adapter for a rate.
+func (s *adapterSearch) place(rate float64) []int {
+	s.chosen = map[int]bool{}
+	for _, x := range s.stages {
+		s.left = append(s.left, x.rate)
 	}
-	for _, s := range adapterOrder(a, stages, engines) {
-		need := adapterBytes(m, a, s.layers)
-		if free[s.engine] < need || !adapterNeeded(a, s, rates, total, count) {
-			continue
+	first := map[int]bool{}
+	for have := 0.0; have < rate*(1-1e-9); {
+		chain := s.cheapest(nil)
+		if len(chain) == 0 {
+			break
 		}
-		free[s.engine] -= need
-		wanted[s.engine] = append(wanted[s.engine], a.Name)
-		for l := s.layers.First; l < s.layers.End; l++ {
-			rates[l] += s.rate
-			count[l]++
+		have += s.use(chain)
+		if len(first) == 0 {
+			for _, n := range chain {
+				first[n] = true
+			}
 		}
 	}
+	// A further chain without the engines of the first one.
+	if chain := s.cheapest(first); len(first) > 0 {
+		s.use(chain)
+	}
+	return slices.Sorted(maps.Keys(s.chosen))
 }
 
-func adapterNeeded(a Adapter, s stage, rates, total []float64, count []int) bool {
-	for l := s.layers.First; l < s.layers.End; l++ {
-		if count[l] < minAdapterReplicas || rates[l] < a.Demand*total[l]*(1-1e-9) {
-			return true
-		}
+// use adds a chain and returns the rate that it adds.
+func (s *adapterSearch) use(chain []int) float64 {
+	rate := math.Inf(1)
+	for _, n := range chain {
+		rate = min(rate, s.left[n])
 	}
-	return false
+	for _, n := range chain {
+		s.left[n] -= rate
+		s.chosen[n] = true
+	}
+	return rate
 }
 
-// adapterOrder sorts stages: first those whose engine holds the adapter, then
-// by range, fast ones first.
-func adapterOrder(a Adapter, stages []stage, engines []Engine) []stage {
-	order := slices.Clone(stages)
-	slices.SortStableFunc(order, func(x, y stage) int {
-		hx := slices.Contains(engines[x.engine].Current.Adapters, a.Name)
-		hy := slices.Contains(engines[y.engine].Current.Adapters, a.Name)
-		if hx != hy {
-			if hx {
-				return -1
+// cost returns the cost of a stage in layers to load, and false when it cannot hold the adapter.
+func (s *adapterSearch) cost(n int) (float64, bool) {
+	x := s.stages[n]
+	switch {
+	case s.left[n] <= x.rate*1e-9:
+		return 0, false
+	case s.chosen[n]:
+		return 0, true
+	case s.free[x.engine] < adapterBytes(s.model, s.adapter, x.layers):
+		return 0, false
+	case slices.Contains(s.engines[x.engine].Current.Adapters, s.adapter.Name):
+		return 0.01 * float64(x.layers.Len()), true
+	}
+	return float64(x.layers.Len()), true
+}
+
+// cheapest returns the chain with the lowest cost that avoids some stages, nil
+// when there is none. A crossing between data centres costs as much as loading
+// all layers, and more over slow links.
+func (s *adapterSearch) cheapest(avoid map[int]bool) []int {
+	type arrival struct {
+		cost  float64
+		stage int // that ends here, -1 for a crossing
+		from  int // data centre before a crossing
+	}
+	at := make([][]arrival, s.model.Layers+1)
+	for b := range at {
+		at[b] = make([]arrival, len(s.links))
+		for d := range at[b] {
+			at[b][d] = arrival{cost: math.Inf(1), stage: -1, from: d}
+			if b == 0 {
+				at[b][d].cost = 0
+			}
+		}
+	}
+	starts := make([][]int, s.model.Layers)
+	for n, x := range s.stages {
+		starts[x.layers.First] = append(starts[x.layers.First], n)
+	}
+	for b := range s.model.Layers {
+		stay := slices.Clone(at[b])
+		for d := range at[b] {
+			for e := range stay {
+				c := stay[e].cost + float64(s.model.Layers)*(1+s.stages[0].rate/s.links[e][d])
+				if e != d && s.links[e][d] > 0 && c < at[b][d].cost {
+					at[b][d] = arrival{c, -1, e}
+				}
+			}
+		}
+		for _, n := range starts[b] {
+			x := s.stages[n]
+			c, ok := s.cost(n)
+			if c += at[b][x.dataCentre].cost; ok && !avoid[n] && c < at[x.layers.End][x.dataCentre].cost {
+				at[x.layers.End][x.dataCentre] = arrival{c, n, x.dataCentre}
 			}
-			return 1
 		}
-		if c := cmp.Compare(x.layers.First, y.layers.First); c != 0 {
-			return c
+	}
+	b, d := s.model.Layers, 0
+	for e := range at[b] {
+		if at[b][e].cost < at[b][d].cost {
+			d = e
 		}
-		return cmp.Compare(y.rate, x.rate)
-	})
-	return order
+	}
+	if math.IsInf(at[b][d].cost, 1) {
+		return nil
+	}
+	var chain []int
+	for b > 0 {
+		a := at[b][d]
+		if a.stage < 0 {
+			d = a.from
+			continue
+		}
+		chain = append(chain, a.stage)
+		b = s.stages[a.stage].layers.First
+	}
+	return chain
 }
--- a/pkg/placement/allocate.go
+++ b/pkg/placement/allocate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -33,11 +34,9 @@
 		if owner[i] >= 0 {
 			continue
 		}
-		best := -1
-		for m, model := range in.Models {
-			if model.maxLayers(in.Engines[i]) > 0 && (best < 0 || have[m] < have[best]) {
-				best = m
-			}
+		best := neediest(in, have, scale, i, maxEngineShare)
+		if best < 0 {
+			best = neediest(in, have, scale, i, math.Inf(1))
 		}
 		if best < 0 {
 			continue
@@ -47,6 +46,23 @@
 	}
 }
 
+// maxEngineShare is the largest part of a model's need that one engine should
+// run, so that the loss of the engine leaves a part of the model.
+const maxEngineShare = 0.4
+
+// neediest returns the model that has the least of its demand among those of
+// whose need an engine runs at most a share, -1 when there is none.
+func neediest(in Input, have []float64, scale float64, engine int, share float64) int {
+	best := -1
+	for m, model := range in.Models {
+		u := useful(model, in.Engines[engine], scale)
+		if u > 0 && u <= share && (best < 0 || have[m] < have[best]) {
+			best = m
+		}
+	}
+	return best
+}
+
 // maxImbalance is the difference between the models' shares of their demand
 // that rebalance leaves. Each exchange of an engine costs loads on both models.
 const maxImbalance = 0.1
--- a/pkg/placement/loads.go
+++ b/pkg/placement/loads.go
@@ -26,7 +26,7 @@
 	if !o.planned || o.overdue(now) >= maxOverdue {
 		return
 	}
-	choices := o.choices(now)
+	choices, waiting := o.choices(now)
 	started := false
 	for _, c := range choices {
 		if o.storeFreeAt.Sub(now) > o.config.StoreLead {
@@ -38,7 +38,7 @@
 			started = true
 		}
 	}
-	if started || o.loads(now) > 0 || o.dirty || o.planInFlight {
+	if started || waiting || o.loads(now) > 0 || o.dirty || o.planInFlight {
 		return
 	}
 	if len(choices) == 0 {
@@ -120,13 +120,17 @@
 	return b
 }
 
-// choices returns the engines whose change may be ordered, the most needed first.
-func (o *Owner) choices(now time.Time) []loadChoice {
-	var out []loadChoice
+// choices returns the engines whose change may be ordered, the most needed
+// first, and whether others still wait until they may be.
+func (o *Owner) choices(now time.Time) (out []loadChoice, waiting bool) {
 	var holders map[fleet.ModelID][]int
 	for n, id := range o.order {
 		v := o.engines[id]
-		if equal(v.wanted, v.intended) || !o.mayOrder(now, v) || !v.usable(now) {
+		if equal(v.wanted, v.intended) || !v.usable(now) {
+			continue
+		}
+		if !o.mayOrder(now, v) {
+			waiting = true
 			continue
 		}
 		if holders == nil {
@@ -135,7 +139,7 @@
 		out = append(out, loadChoice{id, need(v.wanted, holders[v.wanted.Model]), n})
 	}
 	slices.SortFunc(out, byNeed)
-	return out
+	return out, waiting
 }
 
 // holders counts for each layer the engines that hold or load the wanted version.
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -13,6 +13,8 @@
 type Settings struct {
 	// Spare asks for a complete chain after the loss of any one engine.
 	Spare bool
+	// SpareCost is the largest share of throughput that is given up for spare ways.
+	SpareCost float64
 	// GoodEnough is the share of the bound at which the search stops.
 	GoodEnough float64
 	// LocalCost is the share of throughput that is given up for chains inside one data centre.
@@ -23,7 +25,7 @@
 
 // DefaultSettings returns the settings of a fleet whose operators set nothing.
 func DefaultSettings() Settings {
-	return Settings{Spare: true, GoodEnough: 0.98, LocalCost: 0.03, MinGain: 0.05}
+	return Settings{Spare: true, SpareCost: 0.05, GoodEnough: 0.98, LocalCost: 0.03, MinGain: 0.05}
 }
 
 // Planner computes plans. It has no state.
@@ -70,7 +72,7 @@
 		plan.Wanted[e.ID] = upstream.Assignment{Role: upstream.RoleIdle}
 	}
 	for i, m := range in.Models {
-		adapters := assignAdapters(m, stages[i], in.Engines)
+		adapters := assignAdapters(m, stages[i], in.Engines, top.tokens(m))
 		for _, s := range stages[i] {
 			plan.Wanted[in.Engines[s.engine].ID] = upstream.Assignment{
 				Role: upstream.RoleServe, Model: m.ID, Version: m.Version,
@@ -108,61 +110,148 @@
 }
 
 type candidate struct {
-	stages   []stage
-	segments int
-	score    float64
-	spare    bool
-	good     bool
+	stages []stage
+	from   start // where a longer search begins
+	score  float64
+	spare  bool
+	good   bool
 }
 
-// refineMoves multiplies the moves of a search that goes on from a promising
-// number of segments; refineCounts is how many of them are tried.
+// refineMoves multiplies the moves of a search that goes on from promising
+// boundaries; refineCounts is how many are tried and refineRounds how often
+// while the result is below refineBelow of the bound.
 const (
 	refineMoves  = 6
 	refineCounts = 3
+	refineRounds = 3
+	refineBelow  = 0.95
 )
 
-// searchZones tries each number of segments with a short search and goes on
-// with the best ones.
+// searchZones arranges a model on zones, with spare ways unless they cost
+// more throughput than Settings.SpareCost.
 func (p Planner) searchZones(in Input, top topology, m Model, engines, zones []int, rng *rand.Rand) candidate {
-	units, target := p.units(in, m, engines, zones)
-	bound := hardwareBound(pick(in.Engines, engines), []Model{m}) * m.Demand
-	spare := p.Settings.Spare && spareFits(in, m, engines)
-	moves := max(minSearchMoves, searchMoves*len(units))
-	try := func(k, moves int) candidate {
-		a := newArrangement(units, evenBoundaries(m.Layers, k), target, spare)
-		a.greedy(memoryOrder(units))
-		a.anneal(rng, moves)
-		c := measure(in, top, m, engines, a)
-		c.segments = k
-		c.good = c.score >= p.Settings.GoodEnough*bound && (c.spare || !spare)
-		return c
+	s := search{in: in, top: top, model: m, engines: engines, rng: rng}
+	s.units, s.target = p.units(in, m, engines, zones)
+	s.bound = hardwareBound(pick(in.Engines, engines), []Model{m}) * m.Demand
+	s.enough = p.Settings.GoodEnough * s.bound
+	s.spare = p.Settings.Spare && spareFits(in, m, engines)
+	best := s.run()
+	if !s.spare || best.good || (best.spare && best.score >= s.bound*(1-p.Settings.SpareCost)) {
+		return best
 	}
+	s.spare = false
+	fast := s.run()
+	if !best.spare || fast.score*(1-p.Settings.SpareCost) > best.score || (fast.spare && fast.score > best.score) {
+		return fast
+	}
+	return best
+}
+
+// search is the search for one arrangement of a model.
+type search struct {
+	in            Input
+	top           topology
+	model         Model
+	engines       []int
+	units         []unit
+	target        []float64
+	bound, enough float64
+	spare         bool
+	rng           *rand.Rand
+}
+
+// run tries each seed of boundaries with a short search and goes on with the best ones.
+func (s *search) run() candidate {
 	var found []candidate
-	for _, k := range segmentCounts(m, units) {
-		c := try(k, moves)
+	moves := max(minSearchMoves, searchMoves*len(s.units))
+	for _, seed := range boundarySeeds(s.model, s.units, s.bound) {
+		c := s.try(seed, moves)
 		if c.good {
 			return c
 		}
 		found = append(found, c)
 	}
-	slices.SortStableFunc(found, func(a, b candidate) int { return compareCandidates(a, b, spare) })
-	best := candidate{stages: []stage{}}
-	if len(found) > 0 {
-		best = found[0]
+	if len(found) == 0 {
+		return candidate{stages: []stage{}}
 	}
-	for _, f := range found[:min(len(found), refineCounts)] {
-		c := try(f.segments, moves*refineMoves)
-		if compareCandidates(c, best, spare) < 0 {
-			best = c
-		}
-		if best.good {
+	s.sort(found)
+	best := found[0]
+	for round := range refineRounds {
+		if round > 0 && best.score >= refineBelow*s.bound {
 			break
 		}
+		for i, f := range found[:min(len(found), refineCounts)] {
+			c := s.try(f.from, moves*refineMoves)
+			if s.compare(c, f) < 0 {
+				found[i] = c
+			}
+			if s.compare(c, best) < 0 {
+				best = c
+			}
+			if best.good {
+				return best
+			}
+		}
+		s.sort(found)
 	}
 	return best
 }
 
+func (s *search) sort(found []candidate) { slices.SortStableFunc(found, s.compare) }
+
+// try arranges the engines from a start.
+func (s *search) try(from start, moves int) candidate {
+	a := newArrangement(s.units, slices.Clone(from.boundaries), s.target, s.spare)
+	from.apply(a)
+	a.greedy(idleUnits(a))
+	a.anneal(s.rng, moves)
+	c := measure(s.in, s.top, s.model, s.engines, a)
+	if len(s.top.names) > 1 && c.score < s.enough {
+		c = s.gather(a, c)
+	}
+	c.from = from
+	if from.spans == nil {
+		c.from.boundaries = slices.Clone(a.boundaries)
+	}
+	c.good = c.score >= s.enough && (c.spare || !s.spare)
+	return c
+}
+
+// gather exchanges equal engines so that those of one data centre hold
+// neighbouring ranges, since a chain that changes data centre at each stage
+// takes the links many times. It returns the better of both candidates.
+func (s *search) gather(a *arrangement, before candidate) candidate {
+	first, end := slices.Clone(a.first), slices.Clone(a.end)
+	groups := map[unit][]int{}
+	for i, u := range a.units {
+		groups[u] = append(groups[u], i)
+	}
+	place := s.top.pathOrder()
+	for _, group := range groups {
+		spans := slices.Clone(group)
+		slices.SortStableFunc(spans, func(x, y int) int { return cmp.Compare(first[x], first[y]) })
+		slices.SortStableFunc(group, func(x, y int) int {
+			return cmp.Compare(place[s.dataCentre(x)], place[s.dataCentre(y)])
+		})
+		for n, i := range group {
+			a.first[i], a.end[i] = first[spans[n]], end[spans[n]]
+		}
+	}
+	if after := measure(s.in, s.top, s.model, s.engines, a); after.score > before.score {
+		return after
+	}
+	copy(a.first, first)
+	copy(a.end, end)
+	return before
+}
+
+// dataCentre returns the data centre of a unit.
+func (s *search) dataCentre(unit int) int {
+	return s.top.index[s.in.Engines[s.engines[unit]].DataCentre]
+}
+
+func (s *search) compare(a, b candidate) int { return compareCandidates(a, b, s.spare) }
+
 // compareCandidates orders candidates: with spare ways first where they are asked for, then by throughput.
 func compareCandidates(a, b candidate, spare bool) int {
 	if spare && a.spare != b.spare {
@@ -290,47 +379,6 @@
 	return total >= 2*m.Layers
 }
 
-// segmentCounts returns the numbers of segments to try, coarse ones first: the
-// least with which each size of engine can hold a segment, and finer ones.
-func segmentCounts(m Model, units []unit) []int {
-	var counts []int
-	add := func(k int) {
-		if k >= 1 && k <= m.Layers && k <= maxSegments {
-			counts = append(counts, k)
-		}
-	}
-	for _, u := range units {
-		if u.most <= 0 {
-			continue
-		}
-		k := (m.Layers + u.most - 1) / u.most
-		for _, factor := range []int{2, 3, 4, 6} {
-			add(k * factor / 2)
-		}
-		add(k + 1)
-	}
-	slices.Sort(counts)
-	counts = slices.Compact(counts)
-	for len(counts) > maxSegmentCounts {
-		counts = slices.Delete(counts, len(counts)/2, len(counts)/2+1)
-	}
-	return counts
-}
-
-// maxSegments limits the boundaries; maxSegmentCounts the searches for one model.
-const (
-	maxSegments      = 48
-	maxSegmentCounts = 10
-)
-
-func evenBoundaries(layers, segments int) []int {
-	b := make([]int, segments+1)
-	for i := range b {
-		b[i] = layers * i / segments
-	}
-	return b
-}
-
 // memoryOrder returns the units by memory, small ones first, and by speed, fast ones first.
 func memoryOrder(units []unit) []int {
 	order := make([]int, len(units))
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -88,3 +89,51 @@
 		})
 	}
 }
+
+// TestAdaptersFollowDemand guards against adapters that no complete chain
+// holds, or that stay on few engines when their demand grows.
+func TestAdaptersFollowDemand(t *testing.T) {
+	is := is.New(t)
+	in := today(40, 1)
+	m := &in.Models[0]
+	m.Adapters = []Adapter{{"hot", 2 * gib, 0.6}, {"warm", 2 * gib, 0.2}, {"cold", 2 * gib, 0.01}, {"unused", 2 * gib, 0}}
+	share := func(plan Plan, name string) float64 {
+		var stages []stage
+		top := newTopology(in)
+		for i, e := range in.Engines {
+			if w := plan.Wanted[e.ID]; slices.Contains(w.Adapters, name) {
+				stages = append(stages, newStage(in, top, *m, i, w.Layers))
+			}
+		}
+		rate, _ := newChainGraph(stages, m.Layers, len(top.names), top.tokens(*m)).throughput()
+		return rate / plan.Throughput["m"]
+	}
+	plan := NewPlanner().Plan(in)
+	t.Logf("hot %.2f warm %.2f cold %.2f", share(plan, "hot"), share(plan, "warm"), share(plan, "cold"))
+	is.True(share(plan, "hot") >= 0.6)
+	is.True(share(plan, "warm") >= 0.2)
+	is.True(share(plan, "cold") >= 0.01)
+	is.Equal(share(plan, "unused"), 0.0)
+	for i, e := range in.Engines {
+		in.Engines[i].Current = plan.Wanted[e.ID]
+	}
+	m.Adapters[0].Demand, m.Adapters[2].Demand = 0.01, 0.6
+	plan = NewPlanner().Replan(in)
+	is.True(share(plan, "cold") >= 0.6)
+	is.True(share(plan, "hot") < 0.6)
+	for _, e := range in.Engines {
+		is.Equal(plan.Wanted[e.ID].Layers, e.Current.Layers) // adapters move, layers do not
+	}
+}
+
+// TestModelsShareEngines guards against a model that gets far less than its demand.
+func TestModelsShareEngines(t *testing.T) {
+	is := is.New(t)
+	in := today(40, 2)
+	big := in.Models[0]
+	big.Demand = 0.7
+	in.Models = []Model{big, {ID: "n", Version: "1", Layers: 32, BytesPerLayer: 0.5 * gib, Demand: 0.3, LayerWork: 0.4}}
+	plan := NewPlanner().Plan(in)
+	t.Logf("ratio %.3f, throughput %v, spare %v", plan.Ratio(), plan.Throughput, plan.Spare)
+	is.True(plan.Ratio() >= 0.9)
+}
--- a/pkg/placement/throughput.go
+++ b/pkg/placement/throughput.go
@@ -205,3 +205,39 @@
 	}
 	return out
 }
+
+// pathOrder returns the place of each data centre on a path over fast links.
+func (t *topology) pathOrder() []int {
+	order := make([]int, len(t.names))
+	best := -1.0
+	for start := range t.names {
+		place, slowest := t.pathFrom(start)
+		if slowest > best {
+			order, best = place, slowest
+		}
+	}
+	return order
+}
+
+// pathFrom visits the data centres from one on, each time over the fastest
+// link to one not yet visited, and returns the slowest link taken.
+func (t *topology) pathFrom(at int) (place []int, slowest float64) {
+	place = make([]int, len(t.names))
+	for i := range place {
+		place[i] = -1
+	}
+	place[at] = 0
+	slowest = unlimitedLink
+	for n := 1; n < len(place); n++ {
+		next := -1
+		for d := range place {
+			if place[d] < 0 && (next < 0 || t.bytes[at][d] > t.bytes[at][next]) {
+				next = d
+			}
+		}
+		slowest = min(slowest, t.bytes[at][next])
+		place[next] = n
+		at = next
+	}
+	return place, slowest
+}
