Add shared rates and failure tests of the control plane

Cause: team limits must hold across the fleet, and membership and spread need proof under failures. Change: pkg/share lends parts of a rate between VMs and picks subsets of upstreams; pkg/fleettest runs the real machines over an in-memory network in virtual time with pauses, losses and partitions. Members pull what they lack in pages, seeds limit their answers, summaries carry their age.

--- /dev/null
+++ b/pkg/fleettest/cluster.go
@@ -0,0 +1,440 @@
+// Package fleettest runs the control plane of many entry VMs over an in-memory
+// network in virtual time: the real membership and spread machines, a log, and
+// delays, losses, pauses and partitions. Tests and cmd/capacity use it. The
+// same seed gives the same run.
+package fleettest
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/spread"
+	"github.com/cornelline/cornelline/pkg/wire"
+)
+
+const (
+	// TickInterval is the time between two ticks of a node.
+	TickInterval = 100 * time.Millisecond
+	// HeaderBytes is the IP and TCP header of a segment, timestamps included.
+	HeaderBytes = 52
+	// readTimeout is the time after which a node gives up a read of the log.
+	readTimeout = 5 * time.Second
+	// inboxLimit is the number of messages that a paused node's sockets hold.
+	inboxLimit = 1000
+
+	sameDataCentre = 200 * time.Microsecond
+	sameRegion     = time.Millisecond
+	otherRegion    = 60 * time.Millisecond
+)
+
+// Layout is the shape of a fleet.
+type Layout struct {
+	Regions            int
+	DataCentresPerZone int // data centres in each region
+	Nodes              int
+}
+
+// Layouts that the tests and the capacity command use.
+var (
+	Today    = Layout{Regions: 1, DataCentresPerZone: 3, Nodes: 4}
+	Fifty    = Layout{Regions: 1, DataCentresPerZone: 3, Nodes: 50}
+	TwoHundr = Layout{Regions: 2, DataCentresPerZone: 3, Nodes: 200}
+	TwoYears = Layout{Regions: 6, DataCentresPerZone: 3, Nodes: 3200}
+)
+
+// Node is one entry VM.
+type Node struct {
+	VM         fleet.VM
+	Membership *membership.Machine
+	Spread     *spread.Machine
+
+	Up bool
+	// Paused stops the node's work; messages wait.
+	Paused bool
+	// Log is false when the node cannot reach the log.
+	Log bool
+
+	// Traffic since the last ResetTraffic, frames without IP headers.
+	BytesSent, BytesReceived, Sent, Received int
+	// MaxSent is the largest number of bytes sent in one second.
+	MaxSent              int
+	second               time.Time
+	sentInSecond, starts int
+
+	// Delivered counts records, LastDelivered is the offset of the last one.
+	Delivered     int
+	LastDelivered uint64
+	Notices       int
+	refresh       time.Time
+	inbox         []any
+	epoch         int // grows with each stop, so that events of an earlier start are void
+}
+
+// Cluster is a fleet in virtual time.
+type Cluster struct {
+	Now   time.Time
+	Nodes []*Node
+	Log   *Log
+	// Blocked reports whether messages from one node to another are lost.
+	Blocked func(from, to *Node) bool
+	// Loss is the probability that a message is lost.
+	Loss float64
+	// OnDeliver hears each record applied at a node.
+	OnDeliver func(n *Node, r spread.Record)
+	// OnChange hears each change of membership at a node.
+	OnChange func(n *Node, c membership.Changed)
+
+	began     time.Time
+	rand      *rand.Rand
+	byAddress map[string]*Node
+	seeds     []string
+	events    eventQueue
+	sequence  uint64
+	sizes     map[any]int
+}
+
+// Log is an append-only log in memory.
+type Log struct {
+	records []spread.Record
+	// Down makes all reads fail; Delay is the time that a read takes.
+	Down  bool
+	Delay time.Duration
+	Reads int
+}
+
+// Append adds a record and returns its offset.
+func (l *Log) Append(data []byte) uint64 {
+	offset := uint64(len(l.records) + 1)
+	l.records = append(l.records, spread.Record{Offset: offset, Data: data})
+	return offset
+}
+
+func (l *Log) read(after uint64, limit int) spread.ReadResult {
+	l.Reads++
+	r := spread.ReadResult{First: 1, Next: uint64(len(l.records) + 1)}
+	end := min(int(after)+limit, len(l.records))
+	r.Records = append(r.Records, l.records[min(int(after), end):end]...)
+	return r
+}
+
+// New returns a fleet whose nodes are all down.
+func New(layout Layout, seed uint64) *Cluster {
+	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	c := &Cluster{
+		Now: began, began: began, Log: &Log{Delay: 5 * time.Millisecond},
+		rand:      rand.New(rand.NewPCG(seed, 1)),
+		byAddress: make(map[string]*Node),
+		sizes:     make(map[any]int),
+	}
+	centres := layout.Regions * layout.DataCentresPerZone
+	for i := range layout.Nodes {
+		dc := i % centres
+		region := dc / layout.DataCentresPerZone
+		n := &Node{Log: true, VM: fleet.VM{
+			ID:         fleet.VMID(fmt.Sprintf("vm-%04d", i)),
+			DataCentre: fleet.DataCentreID(fmt.Sprintf("dc-%02d", dc)),
+			Region:     fleet.RegionID(fmt.Sprintf("region-%d", region)),
+			// The length is that of real addresses, because the bytes are measured.
+			Address:     fmt.Sprintf("10.%d.%d.%d:8443", dc, i/250, i%250),
+			PeerAddress: fmt.Sprintf("10.%d.%d.%d:7443", dc, i/250, i%250),
+		}}
+		c.Nodes = append(c.Nodes, n)
+		c.byAddress[n.VM.PeerAddress] = n
+	}
+	for i := range min(layout.Nodes, 4) {
+		c.seeds = append(c.seeds, c.Nodes[i*(layout.Nodes-1)/max(1, min(layout.Nodes, 4)-1)].VM.PeerAddress)
+	}
+	return c
+}
+
+// Elapsed returns the virtual time since the start.
+func (c *Cluster) Elapsed() time.Duration { return c.Now.Sub(c.began) }
+
+// StartAll starts all nodes within a time.
+func (c *Cluster) StartAll(within time.Duration) {
+	for _, n := range c.Nodes {
+		c.at(c.Now.Add(time.Duration(c.rand.Int64N(int64(within)+1))), func() { c.Start(n, 0) })
+	}
+}
+
+// Start starts a node that has the settings up to an offset.
+func (c *Cluster) Start(n *Node, applied uint64) {
+	n.Up, n.Paused = true, false
+	n.epoch++
+	n.starts++
+	n.inbox = nil
+	random := rand.New(rand.NewPCG(c.rand.Uint64(), c.rand.Uint64()))
+	n.Membership = membership.New(membership.Config{
+		Self: n.VM, Incarnation: uint64(c.Now.UnixMilli()), Seeds: c.seeds,
+	}, c.Now, random)
+	n.Spread = spread.New(spread.Config{
+		Stream: "settings", Self: n.VM.ID, Address: n.VM.PeerAddress,
+	}, applied, c.Now, random)
+	n.LastDelivered = applied
+	n.refresh = c.Now
+	epoch := n.epoch
+	c.at(c.Now.Add(time.Duration(c.rand.Int64N(int64(TickInterval)))), func() { c.tick(n, epoch) })
+}
+
+// Stop ends a node without notice.
+func (c *Cluster) Stop(n *Node) {
+	n.Up = false
+	n.epoch++
+}
+
+// Leave ends a node with notice.
+func (c *Cluster) Leave(n *Node) {
+	c.actMembership(n, n.Membership.Leave(c.Now))
+	c.Stop(n)
+}
+
+// Pause stops a node's work until Resume.
+func (c *Cluster) Pause(n *Node) { n.Paused = true }
+
+// Resume continues a paused node, which handles the messages that waited.
+func (c *Cluster) Resume(n *Node) {
+	n.Paused = false
+	inbox := n.inbox
+	n.inbox = nil
+	for _, m := range inbox {
+		c.receive(n, m)
+	}
+}
+
+// Run advances the virtual time.
+func (c *Cluster) Run(d time.Duration) {
+	end := c.Now.Add(d)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.Now = e.at
+		e.run()
+	}
+	c.Now = end
+	clear(c.sizes)
+}
+
+// RunUntil advances until the condition holds, checked every 100 ms, and
+// returns the time that took; ok is false when the limit passed first.
+func (c *Cluster) RunUntil(limit time.Duration, condition func() bool) (took time.Duration, ok bool) {
+	began := c.Now
+	for c.Now.Sub(began) <= limit {
+		if condition() {
+			return c.Now.Sub(began), true
+		}
+		c.Run(TickInterval)
+	}
+	return limit, false
+}
+
+// Publish sends a notice from a node.
+func (c *Cluster) Publish(n *Node, topic spread.Topic, data []byte, lifetime time.Duration) bool {
+	actions, ok := n.Spread.Publish(c.Now, topic, data, lifetime)
+	c.actSpread(n, actions)
+	return ok
+}
+
+// ResetTraffic sets all traffic counters to zero.
+func (c *Cluster) ResetTraffic() {
+	for _, n := range c.Nodes {
+		n.BytesSent, n.BytesReceived, n.Sent, n.Received, n.MaxSent = 0, 0, 0, 0, 0
+	}
+	c.Log.Reads = 0
+}
+
+func (c *Cluster) tick(n *Node, epoch int) {
+	if n.epoch != epoch {
+		return
+	}
+	c.at(c.Now.Add(TickInterval), func() { c.tick(n, epoch) })
+	if n.Paused {
+		return
+	}
+	if !c.Now.Before(n.refresh) {
+		n.refresh = c.Now.Add(time.Second)
+		Refresh(n.Membership, n.Spread)
+	}
+	c.actMembership(n, n.Membership.Tick(c.Now))
+	c.actSpread(n, n.Spread.Tick(c.Now))
+}
+
+// Refresh passes the membership view to the spread machine and the applied
+// offset back. The host calls it once a second.
+func Refresh(m *membership.Machine, s *spread.Machine) {
+	m.SetLocal(membership.Local{Offset: s.Applied(), Load: make([]byte, 16), DataCentreLoad: make([]byte, 32)})
+	v := m.View()
+	peers := make([]spread.Peer, 0, len(v.Members))
+	for _, x := range v.Members {
+		peers = append(peers, spread.Peer{ID: x.ID, Address: x.PeerAddress, Offset: x.Offset, Leaving: x.Leaving})
+	}
+	s.SetPeers(peers)
+	var remotes []string
+	for _, d := range v.DataCentres {
+		if d.DataCentre != v.Self.DataCentre && len(d.Relays) > 0 {
+			remotes = append(remotes, d.Relays[0].PeerAddress)
+		}
+	}
+	s.SetRemotes(remotes, v.Highest)
+}
+
+func (c *Cluster) receive(n *Node, message any) {
+	switch message.(type) {
+	case *membership.Ping, *membership.Ack, *membership.PingReq, *membership.Summaries:
+		c.actMembership(n, n.Membership.Receive(c.Now, message))
+	default:
+		c.actSpread(n, n.Spread.Receive(c.Now, message))
+	}
+}
+
+func (c *Cluster) actMembership(n *Node, actions []membership.Action) {
+	for _, a := range actions {
+		switch x := a.(type) {
+		case membership.Send:
+			c.send(n, x.To, x.Message)
+		case membership.Changed:
+			if c.OnChange != nil {
+				c.OnChange(n, x)
+			}
+		}
+	}
+}
+
+func (c *Cluster) actSpread(n *Node, actions []spread.Action) {
+	for _, a := range actions {
+		switch x := a.(type) {
+		case spread.Send:
+			c.send(n, x.To, x.Message)
+		case spread.Read:
+			c.read(n, x)
+		case spread.Deliver:
+			c.deliver(n, x.Records)
+		case spread.Notify:
+			n.Notices++
+		}
+	}
+}
+
+func (c *Cluster) deliver(n *Node, records []spread.Record) {
+	for _, r := range records {
+		if r.Offset != n.LastDelivered+1 {
+			panic(fmt.Sprintf("%s applied offset %d after %d", n.VM.ID, r.Offset, n.LastDelivered))
+		}
+		n.LastDelivered = r.Offset
+		n.Delivered++
+		if c.OnDeliver != nil {
+			c.OnDeliver(n, r)
+		}
+	}
+}
+
+// read answers a node's read of the log after the log's delay.
+func (c *Cluster) read(n *Node, r spread.Read) {
+	delay := min(c.Log.Delay, readTimeout)
+	failed := c.Log.Down || !n.Log || c.Log.Delay >= readTimeout
+	epoch := n.epoch
+	var result spread.ReadResult
+	if !failed {
+		result = c.Log.read(r.After, r.Max)
+	}
+	var done func()
+	done = func() {
+		if n.epoch != epoch {
+			return
+		}
+		if n.Paused {
+			c.at(c.Now.Add(TickInterval), done)
+			return
+		}
+		result.Failed = failed
+		c.actSpread(n, n.Spread.ReadDone(c.Now, r.After, result))
+	}
+	c.at(c.Now.Add(delay), done)
+}
+
+// send counts a message and delivers it after the network's delay.
+func (c *Cluster) send(from *Node, address string, message any) {
+	size := c.size(message)
+	from.BytesSent += size
+	from.Sent++
+	if second := c.Now.Truncate(time.Second); second != from.second {
+		from.second, from.sentInSecond = second, 0
+	}
+	from.sentInSecond += size
+	from.MaxSent = max(from.MaxSent, from.sentInSecond)
+	to := c.byAddress[address]
+	if to == nil || c.Blocked != nil && c.Blocked(from, to) || c.Loss > 0 && c.rand.Float64() < c.Loss {
+		return
+	}
+	c.at(c.Now.Add(c.delay(from, to)), func() {
+		if !to.Up {
+			return
+		}
+		to.BytesReceived += size
+		to.Received++
+		if to.Paused {
+			if len(to.inbox) < inboxLimit {
+				to.inbox = append(to.inbox, message)
+			}
+			return
+		}
+		c.receive(to, message)
+	})
+}
+
+// size returns the message's bytes on a connection.
+func (c *Cluster) size(message any) int {
+	if size, ok := c.sizes[message]; ok {
+		return size
+	}
+	size, err := wire.Size(message)
+	if err != nil {
+		panic(err)
+	}
+	c.sizes[message] = size
+	return size
+}
+
+func (c *Cluster) delay(from, to *Node) time.Duration {
+	base := otherRegion
+	switch {
+	case from.VM.DataCentre == to.VM.DataCentre:
+		base = sameDataCentre
+	case from.VM.Region == to.VM.Region:
+		base = sameRegion
+	}
+	return base + time.Duration(c.rand.Int64N(int64(base)/2))
+}
+
+// event is a function to run at a time.
+type event struct {
+	at       time.Time
+	sequence uint64
+	run      func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return e
+}
+
+func (c *Cluster) at(t time.Time, run func()) {
+	c.sequence++
+	heap.Push(&c.events, event{t, c.sequence, run})
+}
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -39,30 +39,44 @@
 	// SummaryInterval is the time between two rounds of a relay.
 	SummaryInterval = 2 * time.Second
 	// SummaryStale is the age after which a data centre counts as out of reach.
-	SummaryStale = 30 * time.Second
+	SummaryStale = 45 * time.Second
 	// RelayStale is the age after which a data centre's relay is not relied on to
 	// speak for its region.
-	RelayStale = 15 * time.Second
+	RelayStale = 30 * time.Second
 	// RelayCount is the number of relays in each data centre.
 	RelayCount = 2
 
-	// SeedInterval is the time between two contacts of a VM with a seed, and
-	// JoinInterval the same while the VM knows no other member.
-	SeedInterval = 20 * time.Second
-	JoinInterval = time.Second
+	// SeedInterval is the least time between two contacts of a VM with a seed.
+	// SeedIntervalPerVM times the number of VMs is used when it is longer, so that
+	// all seeds together answer one VM a second at any size. JoinInterval is used
+	// while the VM knows no other member.
+	SeedInterval      = 20 * time.Second
+	SeedIntervalPerVM = time.Second
+	JoinInterval      = time.Second
+	// PullInterval is the time between two requests for members that this VM lacks.
+	PullInterval = time.Second
 
 	// MaxLoad is the largest opaque payload in bytes.
 	MaxLoad = 64
 	// MaxMembers and MaxSummaries bound the news in a Ping or Ack. Free places
 	// are filled with other members in turn, so that the size hardly varies.
-	MaxMembers   = 4
+	MaxMembers   = 6
 	MaxSummaries = 2
-	// MaxJoinMembers bounds the members in the answer to a join, and
-	// joinAnswers the number of such answers in a second; further ones are short.
+	// MaxJoinMembers bounds the members in the answer to a join. joinAnswers and
+	// shortAnswers are the numbers of long and of short answers to joins in a
+	// second; beyond them a joining VM gets none and tries again. A flood of joins
+	// thus costs a VM at most about 4 x 4 KB and 12 x 1 KB a second.
 	MaxJoinMembers = 32
 	joinAnswers    = 4
-	// MaxRelayed bounds the summaries in a message between relays.
+	shortAnswers   = 12
+	// MaxRelayed bounds the summaries in a message between regions, which are
+	// those of the sender's region.
 	MaxRelayed = 4
+	// SpeakerPassOn and RelayPassOn are the numbers of other summaries in a
+	// message within a region: the relays of the data centre that speaks for the
+	// region pass on those of the other regions.
+	SpeakerPassOn = 7
+	RelayPassOn   = 1
 	// sampleSize is the number of contacts in a summary beside the relays.
 	sampleSize = 1
 	// announceFan is the number of members that a leaving VM tells directly at each tick.
@@ -165,18 +179,21 @@
 	nextSummary  time.Time
 	nextSeed     time.Time
 	nextCheck    time.Time
+	nextPull     time.Time
+	nextContact  time.Time
+	pullAfter    fleet.VMID
 	probe        *probe
 	relayed      map[uint64]relayedProbe
 	sequence     uint64
 	probeIndex   int
 	fillIndex    int
 	summaryIndex int
+	passOnIndex  int
 	seedIndex    int
 	sampleIndex  int
 	round        int
 	announcing   int
-	joinTokens   float64
-	joinRefill   time.Time
+	long, short  bucket
 	actions      []Action
 }
 
@@ -192,11 +209,12 @@
 			Address: v.Address, PeerAddress: v.PeerAddress,
 			Incarnation: config.Incarnation,
 		},
-		members:    make(map[fleet.VMID]*member),
-		remotes:    make(map[fleet.DataCentreID]*remote),
-		relayed:    make(map[uint64]relayedProbe),
-		joinTokens: joinAnswers,
-		now:        now, lastTick: now, joinRefill: now, nextSeed: now,
+		members: make(map[fleet.VMID]*member),
+		remotes: make(map[fleet.DataCentreID]*remote),
+		relayed: make(map[uint64]relayedProbe),
+		long:    bucket{rate: joinAnswers, tokens: joinAnswers, at: now},
+		short:   bucket{rate: shortAnswers, tokens: shortAnswers, at: now},
+		now:     now, lastTick: now, nextSeed: now,
 	}
 	// A random phase spreads the VMs' work over the interval.
 	m.nextProbe = now.Add(time.Duration(random.Int64N(int64(ProbeInterval))))
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -54,6 +54,9 @@
 	Region     fleet.RegionID
 	// Version grows by one with each summary: a relay continues from the highest version it has heard.
 	Version uint64
+	// AgeMS is the time in milliseconds since the summary was made, as far as
+	// the VMs on its way held it.
+	AgeMS uint32
 	// Live and Leaving count the members.
 	Live, Leaving uint32
 	// Offset is the highest settings offset that any member has in force.
@@ -70,16 +73,22 @@
 type Ping struct {
 	Sequence uint64
 	From     Member
-	// Join asks for a longer list of members.
-	Join      bool
+	// Join asks for a longer list of members: those whose identity follows After.
+	Join  bool
+	After fleet.VMID
+	// Live counts the live members that the sender knows, itself included.
+	Live      uint32
 	Members   []Member
 	Summaries []Summary
 }
 
 // Ack answers a Ping.
 type Ack struct {
-	Sequence  uint64
-	From      Member
+	Sequence uint64
+	From     Member
+	Live     uint32
+	// Page is set when Members answers a Join.
+	Page      bool
 	Members   []Member
 	Summaries []Summary
 }
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -41,7 +41,7 @@
 // ping returns a Ping whose news begins with what is believed of its target,
 // so that a suspected member learns of it and can refute it.
 func (m *Machine) ping(target *member) *Ping {
-	p := &Ping{Sequence: m.sequence, From: m.self}
+	p := &Ping{Sequence: m.sequence, From: m.self, Live: m.liveCount()}
 	p.Members = m.news(target)
 	p.Summaries = m.someSummaries()
 	return p
@@ -140,14 +140,47 @@
 	if p.From.Status == Left {
 		return
 	}
-	a := &Ack{Sequence: p.Sequence, From: m.self}
-	a.Members = m.news(m.members[p.From.ID])
-	a.Summaries = m.someSummaries()
-	if p.Join && m.takeJoinToken() {
-		a.Members = m.joinList(p.From.ID)
-		a.Summaries = m.allSummaries()
+	a := &Ack{Sequence: p.Sequence, From: m.self, Live: m.liveCount()}
+	if p.Join && m.long.take(m.now) {
+		a.Page = true
+		a.Members = m.page(p.After)
+		if p.After == "" {
+			a.Summaries = m.allSummaries()
+		}
+	} else {
+		if p.Join && !m.short.take(m.now) {
+			return
+		}
+		a.Members = m.news(m.members[p.From.ID])
+		a.Summaries = m.someSummaries()
 	}
 	m.send(p.From.PeerAddress, a)
+	if !p.Join {
+		m.pull(p.From, p.Live)
+	}
+}
+
+// liveCount counts the live members, this VM included.
+func (m *Machine) liveCount() uint32 {
+	n := uint32(1)
+	for _, x := range m.members {
+		if x.Status < Dead {
+			n++
+		}
+	}
+	return n
+}
+
+// pull asks a member that knows more members than this VM for the next page of them.
+func (m *Machine) pull(from Member, live uint32) {
+	if live <= m.liveCount() || m.now.Before(m.nextPull) {
+		return
+	}
+	m.nextPull = m.now.Add(PullInterval)
+	m.sequence++
+	m.send(from.PeerAddress, &Ping{
+		Sequence: m.sequence, From: m.self, Join: true, After: m.pullAfter, Live: m.liveCount(),
+	})
 }
 
 // receiveForeignPing answers a VM of another data centre that uses this one as
@@ -158,36 +191,49 @@
 		m.introduce(p.From)
 	}
 	a := &Ack{Sequence: p.Sequence, From: m.self}
-	a.Summaries = m.someSummaries()
-	if p.Join && m.takeJoinToken() {
+	r := m.remotes[p.From.DataCentre]
+	switch {
+	case p.Join && m.long.take(m.now):
 		a.Summaries = m.allSummaries()
-	} else if r := m.remotes[p.From.DataCentre]; r != nil {
-		a.Summaries = []Summary{r.Summary, m.ownSummary()}
+	case !m.short.take(m.now):
+		return
+	case r != nil:
+		a.Summaries = []Summary{m.aged(r), m.ownSummary()}
+	default:
+		a.Summaries = m.someSummaries()
 	}
 	m.send(p.From.PeerAddress, a)
 }
 
-// takeJoinToken limits the long answers to joins, so that a flood of joins
-// costs a seed a bounded number of bytes a second.
-func (m *Machine) takeJoinToken() bool {
-	m.joinTokens = min(joinAnswers, m.joinTokens+m.now.Sub(m.joinRefill).Seconds()*joinAnswers)
-	m.joinRefill = m.now
-	if m.joinTokens < 1 {
+// bucket is a token bucket that limits answers.
+type bucket struct {
+	rate, tokens float64
+	at           time.Time
+}
+
+// take reports whether one more answer may go out.
+func (b *bucket) take(now time.Time) bool {
+	b.tokens = min(b.rate, b.tokens+now.Sub(b.at).Seconds()*b.rate)
+	b.at = now
+	if b.tokens < 1 {
 		return false
 	}
-	m.joinTokens--
+	b.tokens--
 	return true
 }
 
-// joinList returns random live members for a joining one.
-func (m *Machine) joinList(joiner fleet.VMID) []Member {
-	chosen := m.randomMembers(MaxJoinMembers-1, joiner)
-	list := make([]Member, 0, MaxJoinMembers)
-	if x := m.members[joiner]; x != nil {
-		list = append(list, x.Member)
+// page returns the live members whose identity follows one, in order.
+func (m *Machine) page(after fleet.VMID) []Member {
+	var following []fleet.VMID
+	for _, id := range m.order {
+		if id > after && m.members[id].Status < Dead {
+			following = append(following, id)
+		}
 	}
-	for _, x := range chosen {
-		list = append(list, x.Member)
+	slices.Sort(following)
+	list := make([]Member, 0, MaxJoinMembers)
+	for _, id := range following[:min(len(following), MaxJoinMembers)] {
+		list = append(list, m.members[id].Member)
 	}
 	return list
 }
@@ -209,6 +255,13 @@
 	m.merge(a.From)
 	m.mergeAll(a.Members)
 	m.mergeSummaries(a.Summaries)
+	if a.Page {
+		m.pullAfter = ""
+		if len(a.Members) == MaxJoinMembers {
+			m.pullAfter = a.Members[MaxJoinMembers-1].ID
+		}
+	}
+	m.pull(a.From, a.Live)
 }
 
 func (m *Machine) receivePingReq(r *PingReq) {
--- a/pkg/membership/relay.go
+++ b/pkg/membership/relay.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,25 +19,51 @@
 		return
 	}
 	m.round++
-	for _, r := range m.summaryTargets(position == 0) {
-		contacts := append(slices.Clone(r.Relays), r.Sample...)
-		if len(contacts) == 0 {
+	own := m.ownSummary()
+	own.Version++
+	m.mergeSummary(own)
+	speaks := m.regionSpeaker(m.self.Region) == m.self.DataCentre
+	for _, r := range m.summaryTargets(speaks && position == 0) {
+		to, ok := m.relayOf(r, position)
+		if !ok {
 			continue
 		}
-		// Alternating contacts reach the data centre also while one of its relays is dead.
-		to := contacts[(m.round+position)%len(contacts)]
-		m.send(to.PeerAddress, &Summaries{From: m.self.contact(), Summaries: m.relayedSummaries(r.DataCentre)})
+		list := []Summary{own}
+		switch {
+		case r.Region != m.self.Region:
+			list = append(list, m.regionSummaries(MaxRelayed-1)...)
+		case speaks:
+			list = append(list, m.otherSummaries(SpeakerPassOn, r.DataCentre)...)
+		default:
+			list = append(list, m.otherSummaries(RelayPassOn, r.DataCentre)...)
+		}
+		m.send(to.PeerAddress, &Summaries{From: m.self.contact(), Summaries: list})
+	}
+}
+
+// relayOf returns the contact of a data centre for this round. The relays
+// alternate, so that a dead one does not cut the data centre off; every fourth
+// round uses another member in case both are dead.
+func (m *Machine) relayOf(r *remote, position int) (Contact, bool) {
+	if len(r.Sample) > 0 && (m.round%4 == 0 || len(r.Relays) == 0) {
+		return r.Sample[0], true
 	}
+	if len(r.Relays) == 0 {
+		return Contact{}, false
+	}
+	return r.Relays[(m.round+position)%len(r.Relays)], true
 }
 
 // summaryTargets returns the data centres that this relay sends to.
-func (m *Machine) summaryTargets(first bool) []*remote {
+func (m *Machine) summaryTargets(speaker bool) []*remote {
 	var targets []*remote
-	speaker := first && m.regionSpeaker(m.self.Region) == m.self.DataCentre
 	regions := map[fleet.RegionID]bool{m.self.Region: true}
 	for _, dc := range m.remoteOrder {
 		r := m.remotes[dc]
 		if r.Region == m.self.Region {
+			if dc == m.self.DataCentre {
+				continue
+			}
 			targets = append(targets, r)
 			continue
 		}
@@ -122,17 +150,31 @@
 	return list
 }
 
-// relayedSummaries returns the own summary and others in turn, for a relay of
-// the data centre given. What is believed of that data centre is among them at
-// times, so that one that lost all its VMs learns its last version.
-func (m *Machine) relayedSummaries(_ fleet.DataCentreID) []Summary {
-	own := m.ownSummary()
-	own.Version++
-	m.mergeSummary(own)
-	list := []Summary{own}
-	for _, s := range m.nextSummaries(MaxRelayed - 1) {
-		if s.DataCentre != own.DataCentre {
-			list = append(list, s)
+// regionSummaries returns up to n summaries of other data centres of the region, in turn.
+func (m *Machine) regionSummaries(n int) []Summary {
+	return m.summariesOf(n, func(r *remote) bool {
+		return r.Region == m.self.Region && r.DataCentre != m.self.DataCentre
+	})
+}
+
+// otherSummaries returns up to n summaries of any other data centres, in turn,
+// but for that of the receiver.
+func (m *Machine) otherSummaries(n int, receiver fleet.DataCentreID) []Summary {
+	return m.summariesOf(n, func(r *remote) bool {
+		return r.DataCentre != m.self.DataCentre && r.DataCentre != receiver
+	})
+}
+
+// summariesOf returns up to n of the wanted summaries, from where the last call ended.
+func (m *Machine) summariesOf(n int, wanted func(*remote) bool) []Summary {
+	var list []Summary
+	for range m.remoteOrder {
+		if len(list) == n {
+			break
+		}
+		m.passOnIndex = (m.passOnIndex + 1) % len(m.remoteOrder)
+		if r := m.remotes[m.remoteOrder[m.passOnIndex]]; wanted(r) {
+			list = append(list, m.aged(r))
 		}
 	}
 	return list
@@ -150,7 +192,7 @@
 			}
 			m.summaryIndex = (m.summaryIndex + 1) % len(m.remoteOrder)
 			if r := m.remotes[m.remoteOrder[m.summaryIndex]]; wanted(r) {
-				list = append(list, r.Summary)
+				list = append(list, m.aged(r))
 			}
 		}
 	}
@@ -165,6 +207,13 @@
 	return list
 }
 
+// aged returns a remote's summary with its present age.
+func (m *Machine) aged(r *remote) Summary {
+	s := r.Summary
+	s.AgeMS = uint32(min(m.now.Sub(r.heardAt).Milliseconds(), math.MaxUint32))
+	return s
+}
+
 // someSummaries returns the summaries for a Ping or Ack.
 func (m *Machine) someSummaries() []Summary { return m.nextSummaries(MaxSummaries) }
 
@@ -173,7 +222,7 @@
 	list := []Summary{m.ownSummary()}
 	for _, dc := range m.remoteOrder {
 		if dc != m.self.DataCentre {
-			list = append(list, m.remotes[dc].Summary)
+			list = append(list, m.aged(m.remotes[dc]))
 		}
 	}
 	return list
@@ -203,18 +252,19 @@
 		return
 	}
 	r.Summary = s
-	r.heardAt = m.now
+	r.heardAt = m.now.Add(-time.Duration(s.AgeMS) * time.Millisecond)
 	r.news = summaryNews
 }
 
 // useOwnContacts pings contacts of the own data centre that are not known, so
 // that groups of members that do not know of each other merge.
 func (m *Machine) useOwnContacts(s Summary) {
-	if m.self.Status == Left {
+	if m.self.Status == Left || m.now.Before(m.nextContact) {
 		return
 	}
 	for _, c := range append(slices.Clone(s.Relays), s.Sample...) {
 		if _, known := m.members[c.ID]; !known && c.ID != m.self.ID {
+			m.nextContact = m.now.Add(PullInterval)
 			m.sequence++
 			m.send(c.PeerAddress, &Ping{Sequence: m.sequence, From: m.self, Join: true})
 		}
@@ -235,7 +285,7 @@
 // contactSeed pings a seed: often while no member is known, and now and then
 // later, so that parts of the fleet that lost each other meet again.
 func (m *Machine) contactSeed() {
-	interval := SeedInterval
+	interval := max(SeedInterval, SeedIntervalPerVM*time.Duration(m.fleetCount()))
 	if len(m.members) == 0 {
 		interval = JoinInterval
 	}
@@ -256,6 +306,17 @@
 	})
 }
 
+// fleetCount counts the live VMs of the whole fleet as far as they are known.
+func (m *Machine) fleetCount() uint32 {
+	n := m.liveCount()
+	for dc, r := range m.remotes {
+		if dc != m.self.DataCentre {
+			n += r.Live
+		}
+	}
+	return n
+}
+
 // pingLost pings a random member that is believed dead, so that the parts of a
 // data centre that took each other for dead meet again.
 func (m *Machine) pingLost() {
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/share"
 	"github.com/cornelline/cornelline/pkg/spread"
 )
 
@@ -34,6 +35,8 @@
 	KindSnapshot
 	KindStatus
 	KindNotices
+	KindAsk
+	KindGrant
 	KindExplain
 	KindExplanation
 )
@@ -66,6 +69,8 @@
 	KindSnapshot:     reflect.TypeFor[spread.Snapshot](),
 	KindStatus:       reflect.TypeFor[spread.Status](),
 	KindNotices:      reflect.TypeFor[spread.Notices](),
+	KindAsk:          reflect.TypeFor[share.Ask](),
+	KindGrant:        reflect.TypeFor[share.Grant](),
 	KindExplain:      reflect.TypeFor[Explain](),
 	KindExplanation:  reflect.TypeFor[Explanation](),
 }
