Bound joins, forget unused peers and add the membership events

Cause: 180 joins at once made a seed send 56 KB in a second; the table of peers grew with every address ever used; each VM of a fleet that starts at once read the log every second. Change: answers to joins are limited in number, unused peers are forgotten, a VM that knows no other reads the log every 8 s, unauthenticated peers send at most 1 KiB, events 501 to 508, fuzz seeds. Conclusion: a cold start of all 3,200 at once is still slow; measured next.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -36,6 +36,18 @@
 	ClaimUnknown     ID = 407
 )
 
+// Membership and spread events.
+const (
+	MemberJoined          ID = 501
+	MemberLost            ID = 502
+	MemberLeaving         ID = 503
+	PeerConnectionFailed  ID = 504
+	DataCentreUnreachable ID = 505
+	DataCentreBack        ID = 506
+	SettingsBehind        ID = 507
+	SettingsCaughtUp      ID = 508
+)
+
 var definitions = map[ID]definition{
 	Started:      {"started", zerolog.InfoLevel},
 	Stopped:      {"stopped", zerolog.InfoLevel},
@@ -58,4 +70,13 @@
 	SnapshotWritten:  {"snapshot_written", zerolog.InfoLevel},
 	SnapshotMismatch: {"snapshot_mismatch", zerolog.ErrorLevel},
 	ClaimUnknown:     {"claim_outcome_unknown", zerolog.WarnLevel},
+
+	MemberJoined:          {"member_joined", zerolog.InfoLevel},
+	MemberLost:            {"member_lost", zerolog.WarnLevel},
+	MemberLeaving:         {"member_leaving", zerolog.InfoLevel},
+	PeerConnectionFailed:  {"peer_connection_failed", zerolog.WarnLevel},
+	DataCentreUnreachable: {"data_centre_unreachable", zerolog.WarnLevel},
+	DataCentreBack:        {"data_centre_back", zerolog.InfoLevel},
+	SettingsBehind:        {"settings_behind", zerolog.WarnLevel},
+	SettingsCaughtUp:      {"settings_caught_up", zerolog.InfoLevel},
 }
--- a/pkg/fleettest/failures_test.go
+++ b/pkg/fleettest/failures_test.go
@@ -221,7 +221,7 @@
 	}
 	c.Run(10 * time.Second)
 	for _, n := range c.Nodes {
-		if n.MaxSent > 32*1024 { // joinAnswers x 4 KB, and as much for the short answers
+		if n.MaxSent > 32*1024 { // 2 x 5 KB of long answers, 24 x 700 B of short ones, and its own work
 			t.Errorf("%s sent %d bytes in one second of the flood", n.VM.ID, n.MaxSent)
 		}
 	}
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -65,10 +65,10 @@
 	// MaxJoinMembers bounds the members in the answer to a join. joinAnswers and
 	// shortAnswers are the numbers of long and of short answers to joins in a
 	// second; beyond them a joining VM gets none and tries again. A flood of joins
-	// thus costs a VM at most about 4 x 4 KB and 12 x 1 KB a second.
+	// thus costs a VM at most about 2 x 5 KB and 24 x 700 B a second.
 	MaxJoinMembers = 32
-	joinAnswers    = 4
-	shortAnswers   = 12
+	joinAnswers    = 2
+	shortAnswers   = 24
 	// MaxRelayed bounds the summaries in a message between regions, which are
 	// those of the sender's region.
 	MaxRelayed = 4
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -205,7 +205,7 @@
 	m.send(p.From.PeerAddress, a)
 }
 
-// bucket is a token bucket that limits answers.
+// bucket is a token bucket that limits answers. A quarter of a second's answers may go out at once.
 type bucket struct {
 	rate, tokens float64
 	at           time.Time
@@ -213,7 +213,7 @@
 
 // take reports whether one more answer may go out.
 func (b *bucket) take(now time.Time) bool {
-	b.tokens = min(b.rate, b.tokens+now.Sub(b.at).Seconds()*b.rate)
+	b.tokens = min(max(1, b.rate/4), b.tokens+now.Sub(b.at).Seconds()*b.rate)
 	b.at = now
 	if b.tokens < 1 {
 		return false
--- a/pkg/membership/relay.go
+++ b/pkg/membership/relay.go
@@ -286,8 +286,8 @@
 // later, so that parts of the fleet that lost each other meet again.
 func (m *Machine) contactSeed() {
 	interval := max(SeedInterval, SeedIntervalPerVM*time.Duration(m.fleetCount()))
-	if len(m.members) == 0 {
-		interval = JoinInterval
+	if own := m.remotes[m.self.DataCentre]; len(m.members) == 0 || own != nil && own.Live > 2*m.liveCount() {
+		interval = JoinInterval // alone, or in a small group apart from the data centre's others
 	}
 	m.nextSeed = m.now.Add(interval/2 + m.jitter(interval))
 	m.pingLost()
--- a/pkg/spread/machine.go
+++ b/pkg/spread/machine.go
@@ -20,6 +20,10 @@
 	FanOut = 8
 	// ReadInterval is the time between two reads of a reader.
 	ReadInterval = time.Second
+	// LoneReadInterval is used while a VM knows no other VM anywhere. When the
+	// whole fleet starts at once, each VM is alone at first; 3,200 reads a second
+	// would be far over the log's several hundred.
+	LoneReadInterval = 8 * time.Second
 	// ReadBackoffLimit is the longest time between two reads while the log fails.
 	ReadBackoffLimit = 8 * time.Second
 	// ReadMax is the largest number of records in a read. At 300 bytes a record
@@ -119,6 +123,7 @@
 
 	now          time.Time
 	reading      bool
+	lone         bool
 	nextRead     time.Time
 	readBackoff  time.Duration
 	lackingSince time.Time
--- a/pkg/spread/records.go
+++ b/pkg/spread/records.go
@@ -7,6 +7,10 @@
 
 // readLog starts a reader's next read.
 func (m *Machine) readLog() {
+	if m.lone && (len(m.peers) > 1 || len(m.remotes) > 0) {
+		m.nextRead = m.now // no longer alone
+	}
+	m.lone = len(m.peers) == 1 && len(m.remotes) == 0
 	if !m.Reader() || m.reading || m.now.Before(m.nextRead) {
 		return
 	}
@@ -30,6 +34,9 @@
 	m.readBackoff = 0
 	m.logHeard = true
 	m.nextRead = now.Add(ReadInterval)
+	if m.lone {
+		m.nextRead = now.Add(LoneReadInterval/2 + m.jitter(LoneReadInterval))
+	}
 	if r.Next > 0 {
 		m.hear(r.Next - 1)
 	}
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -29,7 +29,7 @@
 // Errors of frames and handshakes. Any of them ends the connection.
 var (
 	// ErrFrameTooLarge is returned for a frame over MaxFrame.
-	ErrFrameTooLarge = errors.New("frame exceeds the limit of 1 MiB")
+	ErrFrameTooLarge = errors.New("frame exceeds the size limit")
 	// ErrMalformedFrame is returned for a frame that is not valid msgpack.
 	ErrMalformedFrame = errors.New("malformed frame")
 	// ErrAuthentication is returned when a MAC does not match: a wrong fleet secret or a changed frame.
@@ -94,7 +94,7 @@
 
 // read returns the next frame and its size in bytes.
 func (r *frameReader) read() (frame, int, error) {
-	body, err := readBody(r.r)
+	body, err := readBody(r.r, MaxFrame)
 	if err != nil {
 		return frame{}, 0, err
 	}
@@ -135,15 +135,15 @@
 	return err
 }
 
-// readBody reads a length prefix and a body.
-func readBody(r io.Reader) ([]byte, error) {
+// readBody reads a length prefix and a body of at most limit bytes.
+func readBody(r io.Reader, limit uint32) ([]byte, error) {
 	var prefix [prefixSize]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return nil, err
 	}
 	n := binary.BigEndian.Uint32(prefix[:])
-	if n > MaxFrame {
-		return nil, fmt.Errorf("%w: %d bytes announced", ErrFrameTooLarge, n)
+	if n > limit {
+		return nil, fmt.Errorf("%w: %d bytes announced, limit %d", ErrFrameTooLarge, n, limit)
 	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
--- a/pkg/wire/handshake.go
+++ b/pkg/wire/handshake.go
@@ -19,6 +19,8 @@
 	protocolVersion = 1
 	// nonceSize is the length of a handshake nonce in bytes.
 	nonceSize = 32
+	// maxHello bounds what an unauthenticated peer can make this side allocate, in bytes.
+	maxHello = 1 << 10
 	// handshakeTimeout bounds the handshake, so that a peer that accepts and
 	// says nothing holds no connection.
 	handshakeTimeout = 2 * time.Second
@@ -83,7 +85,7 @@
 			return err
 		}
 	}
-	peerBody, err := readBody(s.reader.r)
+	peerBody, err := readBody(s.reader.r, maxHello)
 	if err != nil {
 		return err
 	}
--- a/pkg/wire/peer.go
+++ b/pkg/wire/peer.go
@@ -58,6 +58,8 @@
 	current  *session
 	dialling bool
 	closed   bool
+	// retired is set when the entry left the transport's table for good.
+	retired bool
 	// sentSince is when the oldest unanswered frame was sent; zero when there is none.
 	sentSince time.Time
 	// keepaliveAt is when the last keepalive was queued.
@@ -69,9 +71,14 @@
 	return &peer{transport: t, address: address, wake: make(chan struct{}, 1)}
 }
 
-// push queues a frame and drops the oldest ones beyond the queue's bounds.
-func (p *peer) push(f frame) {
+// push queues a frame and drops the oldest ones beyond the queue's bounds. It
+// returns false when the entry is retired; a new one must be used then.
+func (p *peer) push(f frame) bool {
 	p.mu.Lock()
+	if p.retired {
+		p.mu.Unlock()
+		return false
+	}
 	p.queue = append(p.queue, queued{f, time.Now()})
 	p.bytes += len(f.Payload)
 	for len(p.queue) > QueueFrames || (p.bytes > QueueBytes && len(p.queue) > 1) {
@@ -84,9 +91,10 @@
 	p.mu.Unlock()
 	if start {
 		p.transport.running.Go(p.dial)
-		return
+		return true
 	}
 	p.signal()
+	return true
 }
 
 // dropOldest discards the queue's first frame. The caller holds the lock.
@@ -131,13 +139,26 @@
 // It ends the dialling state when none do or an accepted connection took over.
 func (p *peer) keepDialling() bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.dropAged(time.Now())
-	if len(p.queue) > 0 && p.current == nil && !p.closed {
-		return true
+	keep := len(p.queue) > 0 && p.current == nil && !p.closed
+	p.dialling = keep
+	p.mu.Unlock()
+	if !keep {
+		p.retire()
+	}
+	return keep
+}
+
+// retire removes an unused entry from the transport's table, so that the
+// addresses of VMs long gone take no memory.
+func (p *peer) retire() {
+	p.mu.Lock()
+	p.retired = p.current == nil && len(p.queue) == 0 && !p.dialling
+	retired := p.retired
+	p.mu.Unlock()
+	if retired {
+		p.transport.forget(p)
 	}
-	p.dialling = false
-	return false
 }
 
 // dropAged discards frames older than queueAge. The caller holds the lock.
@@ -200,7 +221,7 @@
 	if s.dialled {
 		p.dialling = false
 	}
-	if p.closed {
+	if p.closed || p.retired {
 		return false
 	}
 	old := p.current
@@ -234,7 +255,15 @@
 	p.mu.Unlock()
 	if start {
 		p.transport.running.Go(p.dial)
+		return
 	}
+	p.retire()
+}
+
+func (p *peer) isRetired() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retired
 }
 
 // close ends the connection for good.
--- a/pkg/wire/transport.go
+++ b/pkg/wire/transport.go
@@ -159,12 +159,24 @@
 	if len(f.Payload) > MaxFrame-frameOverhead {
 		return fmt.Errorf("send to %s: %w: payload of %d bytes", address, ErrFrameTooLarge, len(f.Payload))
 	}
-	p, err := t.peer(address)
-	if err != nil {
-		return err
+	for {
+		p, err := t.peer(address)
+		if err != nil {
+			return err
+		}
+		if p.push(f) {
+			return nil
+		}
+	}
+}
+
+// forget removes a retired peer.
+func (t *Transport) forget(p *peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.peers[p.address] == p {
+		delete(t.peers, p.address)
 	}
-	p.push(f)
-	return nil
 }
 
 // peer returns the entry of an address and creates it where it is missing.
@@ -175,7 +187,7 @@
 		return nil, ErrClosed
 	}
 	p, ok := t.peers[address]
-	if !ok {
+	if !ok || p.isRetired() {
 		p = newPeer(t, address)
 		t.peers[address] = p
 	}
--- a/pkg/wire/transport_test.go
+++ b/pkg/wire/transport_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -22,6 +23,7 @@
 
 // pipeNet connects transports by address over synchronous in-memory pipes, for virtual time.
 type pipeNet struct {
+	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	dials     int
 }
@@ -51,11 +53,15 @@
 
 func (n *pipeNet) listen(address string) *pipeListener {
 	l := &pipeListener{address, make(chan net.Conn, 16), make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.listeners[address] = l
 	return l
 }
 
 func (n *pipeNet) dial(_ context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.dials++
 	l := n.listeners[address]
 	if l == nil {
@@ -253,9 +259,42 @@
 	return &frameReader{r: bufio.NewReader(bytes.NewReader(data)), mac: newMAC([]byte("key"), "x")}
 }
 
+// TestForgetsUnusedPeers guards against a table of peers that grows with every
+// VM that ever existed, and against a peer that cannot be reached again after
+// its entry went.
+func TestForgetsUnusedPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &pipeNet{listeners: map[string]*pipeListener{}}
+		a, _ := start(n, "a", testSecret)
+		defer a.Close()
+		b, got := start(n, "b", testSecret)
+		defer b.Close()
+		is.NoErr(a.Send("gone", &membership.Ping{}))
+		is.NoErr(a.Send("b", &membership.Ping{Sequence: 1}))
+		<-got.messages
+		time.Sleep(2 * IdleLimit)
+		a.mu.Lock()
+		is.Equal(len(a.peers), 0)
+		a.mu.Unlock()
+		is.NoErr(a.Send("b", &membership.Ping{Sequence: 2}))
+		is.Equal((<-got.messages).(*membership.Ping).Sequence, uint64(2))
+	})
+}
+
 // FuzzFrame guards against input from the network that crashes the decoder or
 // is accepted without a valid MAC.
 func FuzzFrame(f *testing.F) {
+	f.Add([]byte{0, 16, 0, 1})                          // oversized
+	f.Add([]byte{0, 0, 0, 5, 0xdd, 255, 255, 255, 255}) // array of 4 billion elements
+	for kind := range messageTypes {
+		var out bytes.Buffer
+		w := frameWriter{w: bufio.NewWriter(&out), mac: newMAC([]byte("key"), "x")}
+		if _, err := w.write(frame{Kind: kind, Payload: []byte{0x90}}); err != nil || w.w.Flush() != nil {
+			f.Fatal(err)
+		}
+		f.Add(out.Bytes())
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if fr, _, err := reader(data).read(); err == nil && fr.Sequence != 1 {
 			t.Fatalf("accepted a frame with sequence %d", fr.Sequence)
