Add make capacity and let groups of a data centre find each other

Cause: the cost of the control plane must be measured on one machine; a cold start of 3,200 nodes left small groups apart for good, because relays of both groups of a data centre counted summary versions at the same pace. Change: cmd/capacity prints cost a node over real TCP and in virtual time. A relay tells a sender whose data centre was last heard of with another first relay; new VMs contact seeds more often; suspicion is shorter.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 GO ?= go
 
-.PHONY: all build check fmt test demo
+.PHONY: all build check fmt test demo capacity
 
 all: check test
 
@@ -24,3 +24,8 @@
 
 test:
 	$(GO) test ./...
+
+# capacity measures the control plane's cost on this machine in about two
+# minutes; docs/CAPACITY.md quotes its tables.
+capacity:
+	$(GO) run ./cmd/capacity --seed $(SEED)
--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,295 @@
+// Command capacity measures what the control plane of a fleet costs: processor
+// time, memory and bytes per second of a node, and their growth with nodes,
+// settings changes and notices. It prints tables for docs/CAPACITY.md.
+//
+// Up to 150 nodes run in this process over TCP on loopback; larger fleets run
+// the same machines over an in-memory network in virtual time.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/cornelline/cornelline/pkg/fleettest"
+)
+
+// Budgets of one node from docs/design.md, 1.6.
+const (
+	budgetCore   = 3.5  // percent of a core
+	budgetMemory = 64.0 // MB
+	budgetBytes  = 7.0  // KB/s
+	recordBytes  = 250
+)
+
+type options struct {
+	Phase   time.Duration `long:"phase" default:"6s" description:"length of each measured phase of the TCP fleets"`
+	TCP     []int         `long:"tcp" default:"10" default:"50" default:"150" description:"sizes of the TCP fleets"`
+	Memory  []int         `long:"memory" default:"4" default:"50" default:"200" default:"534" description:"sizes of the in-memory fleets"`
+	Changes int           `long:"changes" default:"10" description:"settings changes a second in the phase with changes"`
+	Notices int           `long:"notices" default:"10" description:"notices a second in the phase with notices"`
+	Seed    uint64        `long:"seed" default:"1" description:"seed of the in-memory fleets"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(1)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	debug.SetMemoryLimit(8 << 30)
+	fmt.Printf("budget of a node: %.1f%% of a core, %.0f MB, %.0f KB/s; %d CPUs, %s\n\n",
+		budgetCore, budgetMemory, budgetBytes, runtime.NumCPU(), runtime.Version())
+	var all []tcpFigures
+	for _, n := range o.TCP {
+		f, err := measureTCP(n, o)
+		if err != nil {
+			return err
+		}
+		all = append(all, f)
+	}
+	printTCP(all, o)
+	printMemory(o)
+	return nil
+}
+
+// load is the cost of one phase for each node.
+type load struct {
+	core    float64 // percent of a core
+	sent    float64 // bytes per second, without IP and TCP headers
+	frames  float64 // frames per second
+	largest float64 // bytes per second of the node that sends most
+}
+
+// tcpFigures are the measurements of one fleet over TCP.
+type tcpFigures struct {
+	nodes                  int
+	idle, changes, notices load
+	heap, stack            float64 // KB a node at the end
+	goroutines             float64
+	spread                 []time.Duration
+	reads                  float64
+}
+
+// measureTCP runs a fleet of one data centre in three phases: no changes,
+// settings changes, and notices.
+func measureTCP(nodes int, o options) (tcpFigures, error) {
+	f := tcpFigures{nodes: nodes}
+	before := memory()
+	log := &memoryLog{}
+	fleet, err := startFleet(nodes, log)
+	if err != nil {
+		return f, err
+	}
+	defer func() {
+		for _, n := range fleet {
+			n.close()
+		}
+	}()
+	if err := awaitFormed(fleet); err != nil {
+		return f, err
+	}
+	f.idle = phase(fleet, o.Phase, func(time.Duration) {})
+	f.changes = phase(fleet, o.Phase, func(d time.Duration) { f.spread = changes(fleet, log, o.Changes, d) })
+	f.notices = phase(fleet, o.Phase, func(d time.Duration) { notices(fleet, o.Notices, d) })
+	after := memory()
+	f.heap = float64(after.HeapAlloc-min(after.HeapAlloc, before.HeapAlloc)) / float64(nodes) / 1024
+	f.stack = float64(after.StackInuse-min(after.StackInuse, before.StackInuse)) / float64(nodes) / 1024
+	f.goroutines = float64(runtime.NumGoroutine()) / float64(nodes)
+	f.reads = float64(log.reads.Load()) / (3 * o.Phase.Seconds())
+	return f, nil
+}
+
+// memory returns the memory in use after a collection.
+func memory() runtime.MemStats {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m
+}
+
+func startFleet(nodes int, log *memoryLog) ([]*liveNode, error) {
+	listeners := make([]net.Listener, nodes)
+	var seeds []string
+	for i := range listeners {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners[i] = l
+		if i < 4 {
+			seeds = append(seeds, l.Addr().String())
+		}
+	}
+	fleet := make([]*liveNode, nodes)
+	for i, l := range listeners {
+		fleet[i] = startNode(i, l, seeds, log)
+	}
+	return fleet, nil
+}
+
+// awaitFormed waits until each node knows all others.
+func awaitFormed(fleet []*liveNode) error {
+	deadline := time.Now().Add(time.Minute)
+	for time.Now().Before(deadline) {
+		missing := slices.ContainsFunc(fleet, func(n *liveNode) bool { return n.members.Load() != int64(len(fleet)) })
+		if !missing {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("%d nodes did not find each other within a minute", len(fleet))
+}
+
+// phase measures a time of work.
+func phase(fleet []*liveNode, d time.Duration, work func(time.Duration)) load {
+	sent := make([]uint64, len(fleet))
+	frames := uint64(0)
+	for i, n := range fleet {
+		c := n.transport.Counters()
+		sent[i] = c.BytesSent
+		frames += c.FramesSent
+	}
+	cpu, began := processorTime(), time.Now()
+	work(d)
+	time.Sleep(d - min(d, time.Since(began)))
+	seconds := time.Since(began).Seconds()
+	used := (processorTime() - cpu).Seconds()
+	var total, largest, end uint64
+	for i, n := range fleet {
+		c := n.transport.Counters()
+		total += c.BytesSent - sent[i]
+		largest = max(largest, c.BytesSent-sent[i])
+		end += c.FramesSent
+	}
+	scale := seconds * float64(len(fleet))
+	return load{
+		core: 100 * used / scale, sent: float64(total) / scale,
+		frames: float64(end-frames) / scale, largest: float64(largest) / seconds,
+	}
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// changes appends settings records at a rate and returns the time that each
+// took to reach all nodes, measured every 5 ms.
+func changes(fleet []*liveNode, log *memoryLog, perSecond int, d time.Duration) []time.Duration {
+	var times []time.Duration
+	appended := make(map[uint64]time.Time)
+	end := time.Now().Add(d)
+	next := time.Now()
+	confirmed := uint64(0)
+	for time.Now().Before(end) {
+		if now := time.Now(); !now.Before(next) {
+			appended[log.append(make([]byte, recordBytes))] = now
+			next = next.Add(time.Second / time.Duration(perSecond))
+		}
+		lowest := slices.MinFunc(fleet, func(a, b *liveNode) int { return int(a.applied.Load()) - int(b.applied.Load()) }).applied.Load()
+		for ; confirmed < lowest; confirmed++ {
+			times = append(times, time.Since(appended[confirmed+1]))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	slices.Sort(times)
+	return times
+}
+
+// notices publishes notices from nodes in turn.
+func notices(fleet []*liveNode, perSecond int, d time.Duration) {
+	end := time.Now().Add(d)
+	for i := 0; time.Now().Before(end); i++ {
+		select {
+		case fleet[i%len(fleet)].publish <- make([]byte, 64):
+		default:
+		}
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+}
+
+func printTCP(all []tcpFigures, o options) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Println("Real TCP on loopback, one data centre, each node's share (KB/s sent, TCP headers of 52 B a frame included):")
+	fmt.Fprintln(w, "nodes\tphase\tcore %\tKB/s\tlargest KB/s\tframes/s\theap KB\tstack KB\tgoroutines\tlog reads/s\tchange p50\tchange max\t")
+	for _, f := range all {
+		for _, p := range []struct {
+			name string
+			load load
+		}{{"idle", f.idle}, {fmt.Sprintf("%d changes/s", o.Changes), f.changes}, {fmt.Sprintf("%d notices/s", o.Notices), f.notices}} {
+			headers := p.load.frames * fleettest.HeaderBytes
+			fmt.Fprintf(w, "%d\t%s\t%.3f\t%.2f\t%.2f\t%.1f\t%.0f\t%.0f\t%.0f\t%.1f\t%v\t%v\t\n", f.nodes, p.name,
+				p.load.core, (p.load.sent+headers)/1000, (p.load.largest+headers)/1000, p.load.frames,
+				f.heap, f.stack, f.goroutines, f.reads, percentile(f.spread, 50), percentile(f.spread, 100))
+		}
+	}
+	_ = w.Flush()
+	printSlopes(all, o)
+}
+
+// printSlopes prints the growth between the smallest and the largest fleet,
+// and the cost of one change and one notice a second.
+func printSlopes(all []tcpFigures, o options) {
+	first, last := all[0], all[len(all)-1]
+	if more := float64(last.nodes - first.nodes); more > 0 {
+		fmt.Printf("\nslope in nodes (%d to %d): %+.5f%% of a core, %+.1f B/s, %+.2f KB of memory a node\n",
+			first.nodes, last.nodes, (last.idle.core-first.idle.core)/more,
+			(last.idle.sent-first.idle.sent)/more, (last.heap+last.stack-first.heap-first.stack)/more)
+	}
+	for _, f := range all {
+		c, n := float64(o.Changes), float64(o.Notices)
+		fmt.Printf("%d nodes: one change a second %+.4f%% of a core and %+.0f B/s a node (largest %+.0f B/s); one notice a second %+.4f%% and %+.0f B/s\n",
+			f.nodes, (f.changes.core-f.idle.core)/c, (f.changes.sent-f.idle.sent)/c, (f.changes.largest-f.idle.largest)/c,
+			(f.notices.core-f.idle.core)/n, (f.notices.sent-f.idle.sent)/n)
+	}
+}
+
+// printMemory measures larger fleets in virtual time. 534 nodes are one region
+// of the two-year size: three data centres of 178.
+func printMemory(o options) {
+	fmt.Println("\nIn memory, virtual time, one change a second, one node dies (KB/s with TCP headers; core without the codec and the kernel):")
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "nodes\tdata centres\tKB/s sent\treceived\tlargest sent\tmessages/s\tcore %\tKB memory\tlog reads/s\tchange p50\tchange max\tdeath seen first\tby all\tformed\t")
+	for _, n := range o.Memory {
+		layout := fleettest.Layout{Regions: max(1, n/534), DataCentresPerZone: 3, Nodes: n}
+		before, cpu := memory(), processorTime()
+		c, f := fleettest.Measure(layout, o.Seed, 20)
+		used := processorTime() - cpu
+		after := memory()
+		kept := float64(after.HeapAlloc-min(after.HeapAlloc, before.HeapAlloc)) / float64(n) / 1024
+		fmt.Fprintf(w, "%d\t%d\t%.2f\t%.2f\t%.2f\t%.1f\t%.3f\t%.0f\t%.1f\t%v\t%v\t%v\t%v\t%v\t\n", n,
+			layout.Regions*layout.DataCentresPerZone, f.Sent/1000, f.Received/1000, f.MaxSent/1000, f.Messages,
+			100*used.Seconds()/c.Elapsed().Seconds()/float64(n), kept, f.LogReads,
+			round(f.SpreadMedian), round(f.SpreadMax), round(f.DetectedFirst), round(f.DetectedAll), round(f.Formed))
+		runtime.KeepAlive(c)
+	}
+	_ = w.Flush()
+}
+
+func percentile(times []time.Duration, p int) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	return round(times[min(len(times)-1, len(times)*p/100)])
+}
+
+func round(d time.Duration) time.Duration { return d.Round(10 * time.Millisecond) }
--- a/pkg/fleettest/failures_test.go
+++ b/pkg/fleettest/failures_test.go
@@ -59,7 +59,7 @@
 func TestFigures(t *testing.T) {
 	for _, layout := range []Layout{Today, Fifty, TwoHundr} {
 		is := is.New(t)
-		f := Measure(layout, 1, 20)
+		_, f := Measure(layout, 1, 20)
 		t.Logf("%+v", f)
 		is.True(f.Formed < formingLimit)
 		is.True(f.Sent < sentBudget)
--- a/pkg/fleettest/measure.go
+++ b/pkg/fleettest/measure.go
@@ -27,9 +27,9 @@
 	DetectedFirst, DetectedAll time.Duration
 }
 
-// Measure forms a fleet, runs it with one change of 300 bytes a second, and
-// stops one node.
-func Measure(layout Layout, seed uint64, changes int) Figures {
+// Measure forms a fleet, runs it with one change of 250 bytes a second, and
+// stops one node. It returns the fleet as it is then.
+func Measure(layout Layout, seed uint64, changes int) (*Cluster, Figures) {
 	c := New(layout, seed)
 	f := Figures{Nodes: layout.Nodes}
 	c.StartAll(2 * time.Second)
@@ -38,7 +38,7 @@
 	c.Run(5 * time.Second)
 	c.measureSpread(&f, changes)
 	c.measureDetection(&f)
-	return f
+	return c, f
 }
 
 func (c *Cluster) measureSpread(f *Figures, changes int) {
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -22,9 +22,11 @@
 	// IndirectProbes is the number of members asked to probe on a VM's behalf.
 	IndirectProbes = 3
 	// SuspicionFactor times the logarithm to base 2 of the number of members, in
-	// seconds, is how long a suspicion waits for its refutation. News needs about
-	// this many probe rounds to reach all members and come back.
-	SuspicionFactor = 0.6
+	// seconds, is how long a suspicion waits for its refutation. The suspected
+	// member hears of it directly and refutes it within a round trip; the rest is
+	// for the refutation to overtake the suspicion. At 0.6 a death took 10.1 s to
+	// reach all 33 members of a data centre, over the limit of 10 s.
+	SuspicionFactor = 0.45
 	// SuspicionMin is the least time that a suspicion waits for its refutation.
 	SuspicionMin = 2 * time.Second
 	// TombstoneTime is how long a dead member is remembered, so that late news
@@ -53,6 +55,9 @@
 	SeedInterval      = 20 * time.Second
 	SeedIntervalPerVM = time.Second
 	JoinInterval      = time.Second
+	// startTime is how long after its start a VM contacts seeds at SeedInterval at
+	// any size of the fleet, because it may have joined a small group only.
+	startTime = 2 * time.Minute
 	// PullInterval is the time between two requests for members that this VM lacks.
 	PullInterval = time.Second
 
@@ -173,6 +178,7 @@
 	// remoteOrder lists the keys of remotes, sorted.
 	remoteOrder []fleet.DataCentreID
 
+	began        time.Time
 	now          time.Time
 	lastTick     time.Time
 	nextProbe    time.Time
@@ -295,7 +301,7 @@
 	case *PingReq:
 		m.receivePingReq(x)
 	case *Summaries:
-		m.mergeSummaries(x.Summaries)
+		m.receiveSummaries(x)
 	}
 	return m.take()
 }
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -102,6 +102,9 @@
 
 // Summaries carries summaries between relays.
 type Summaries struct {
-	From      Contact
+	From Contact
+	// Answer is set on an answer, which gets none itself.
+	Answer bool
+	// Summaries begin with that of the sender's data centre, except in an answer.
 	Summaries []Summary
 }
--- a/pkg/membership/relay.go
+++ b/pkg/membership/relay.go
@@ -228,6 +228,25 @@
 	return list
 }
 
+// receiveSummaries takes in a relay's summaries. A sender whose data centre was
+// last heard of with another first relay may belong to a group apart from the
+// rest of that data centre: the summary heard before tells it of the rest.
+func (m *Machine) receiveSummaries(x *Summaries) {
+	if len(x.Summaries) == 0 {
+		return
+	}
+	s := x.Summaries[0]
+	if r := m.remotes[s.DataCentre]; r != nil && !x.Answer && r.otherRelay(s) {
+		m.send(x.From.PeerAddress, &Summaries{From: m.self.contact(), Answer: true, Summaries: []Summary{m.aged(r)}})
+	}
+	m.mergeSummaries(x.Summaries)
+}
+
+// otherRelay reports whether the summary names another first relay.
+func (r *remote) otherRelay(s Summary) bool {
+	return len(r.Relays) > 0 && len(s.Relays) > 0 && r.Relays[0].ID != s.Relays[0].ID
+}
+
 func (m *Machine) mergeSummaries(list []Summary) {
 	for _, s := range list {
 		m.mergeSummary(s)
@@ -285,7 +304,10 @@
 // contactSeed pings a seed: often while no member is known, and now and then
 // later, so that parts of the fleet that lost each other meet again.
 func (m *Machine) contactSeed() {
-	interval := max(SeedInterval, SeedIntervalPerVM*time.Duration(m.fleetCount()))
+	interval := SeedInterval
+	if m.now.Sub(m.began) > startTime {
+		interval = max(SeedInterval, SeedIntervalPerVM*time.Duration(m.fleetCount()))
+	}
 	if own := m.remotes[m.self.DataCentre]; len(m.members) == 0 || own != nil && own.Live > 2*m.liveCount() {
 		interval = JoinInterval // alone, or in a small group apart from the data centre's others
 	}
