Carry three summaries a message and measure their age

Change: three summaries and five members a message; the limit is 60 s; the age is measured and bounded by a test.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -28,6 +28,9 @@
 	budgetMemory = 64.0 // MB
 	budgetBytes  = 7.0  // KB/s
 	recordBytes  = 250
+	// regionNodes is the size of one region of the two-year size: three data
+	// centres of 178. Larger fleets are measured in 6 regions.
+	regionNodes = 534
 )
 
 type options struct {
@@ -56,13 +59,18 @@
 		budgetCore, budgetMemory, budgetBytes, runtime.NumCPU(), runtime.Version())
 	var all []tcpFigures
 	for _, n := range o.TCP {
+		if n < 2 {
+			continue // --tcp 0 leaves the TCP fleets out
+		}
 		f, err := measureTCP(n, o)
 		if err != nil {
 			return err
 		}
 		all = append(all, f)
 	}
-	printTCP(all, o)
+	if len(all) > 0 {
+		printTCP(all, o)
+	}
 	printMemory(o)
 	return nil
 }
@@ -263,23 +271,25 @@
 	}
 }
 
-// printMemory measures larger fleets in virtual time. 534 nodes are one region
-// of the two-year size: three data centres of 178.
+// printMemory measures fleets in virtual time.
 func printMemory(o options) {
 	fmt.Println("\nIn memory, virtual time, one change a second, one node dies (KB/s with TCP headers; core without the codec and the kernel):")
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "nodes\tdata centres\tKB/s sent\treceived\tlargest sent\tmessages/s\tcore %\tKB memory\tlog reads/s\tchange p50\tchange max\tdeath seen first\tby all\tformed\t")
+	fmt.Fprintln(w, "nodes\tdata centres\tKB/s sent\treceived\tlargest sent\tmessages/s\tcore %\tKB memory\tlog reads/s\tchange p50\tchange max\tsummary age\tmax\tdeath seen first\tby all\tformed\t")
 	for _, n := range o.Memory {
-		layout := fleettest.Layout{Regions: max(1, n/534), DataCentresPerZone: 3, Nodes: n}
+		layout := fleettest.Layout{Regions: 1, DataCentresPerZone: 3, Nodes: n}
+		if n > regionNodes {
+			layout.Regions = 6
+		}
 		before, cpu := memory(), processorTime()
 		c, f := fleettest.Measure(layout, o.Seed, 20)
 		used := processorTime() - cpu
 		after := memory()
 		kept := float64(after.HeapAlloc-min(after.HeapAlloc, before.HeapAlloc)) / float64(n) / 1024
-		fmt.Fprintf(w, "%d\t%d\t%.2f\t%.2f\t%.2f\t%.1f\t%.3f\t%.0f\t%.1f\t%v\t%v\t%v\t%v\t%v\t\n", n,
+		fmt.Fprintf(w, "%d\t%d\t%.2f\t%.2f\t%.2f\t%.1f\t%.3f\t%.0f\t%.1f\t%v\t%v\t%v\t%v\t%v\t%v\t%v\t\n", n,
 			layout.Regions*layout.DataCentresPerZone, f.Sent/1000, f.Received/1000, f.MaxSent/1000, f.Messages,
 			100*used.Seconds()/c.Elapsed().Seconds()/float64(n), kept, f.LogReads,
-			round(f.SpreadMedian), round(f.SpreadMax), round(f.DetectedFirst), round(f.DetectedAll), round(f.Formed))
+			round(f.SpreadMedian), round(f.SpreadMax), round(f.SummaryAge), round(f.SummaryAgeMax), round(f.DetectedFirst), round(f.DetectedAll), round(f.Formed))
 		runtime.KeepAlive(c)
 	}
 	_ = w.Flush()
--- a/pkg/fleettest/failures_test.go
+++ b/pkg/fleettest/failures_test.go
@@ -65,6 +65,7 @@
 		is.True(f.Sent < sentBudget)
 		is.True(f.MaxSent < sentBudget)
 		is.True(f.SpreadMax > 0 && f.SpreadMax < changeLimit)
+		is.True(f.SummaryAgeMax < membership.SummaryStale)
 		is.True(f.DetectedAll > 0 && f.DetectedAll < detectLimit)
 	}
 }
--- a/pkg/fleettest/measure.go
+++ b/pkg/fleettest/measure.go
@@ -13,6 +13,9 @@
 	Nodes int
 	// Formed is the time until every node's view counted all nodes.
 	Formed time.Duration
+	// SummaryAge and SummaryAgeMax are the mean and the largest age of a summary
+	// of another data centre at any node.
+	SummaryAge, SummaryAgeMax time.Duration
 	// Sent, Received and MaxSent are bytes per second and node, IP and TCP headers included.
 	Sent, Received, MaxSent float64
 	// Messages are messages sent per second and node.
@@ -60,6 +63,7 @@
 	}
 	elapsed := c.Now.Sub(began).Seconds()
 	c.traffic(f, elapsed)
+	c.measureAges(f)
 	c.RunUntil(time.Minute, func() bool { return len(times) == changes })
 	c.OnDeliver = nil
 	slices.Sort(times)
@@ -86,6 +90,21 @@
 	f.LogReads = float64(c.Log.Reads) / seconds
 }
 
+func (c *Cluster) measureAges(f *Figures) {
+	var sum time.Duration
+	count := 0
+	for _, n := range c.Nodes {
+		for _, d := range n.Membership.View().DataCentres {
+			if d.DataCentre != n.VM.DataCentre {
+				sum += d.Age
+				count++
+				f.SummaryAgeMax = max(f.SummaryAgeMax, d.Age)
+			}
+		}
+	}
+	f.SummaryAge = sum / time.Duration(max(1, count))
+}
+
 func (c *Cluster) measureDetection(f *Figures) {
 	victim := c.Nodes[len(c.Nodes)/2]
 	if c.neighbours(victim) == 0 {
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -41,10 +41,10 @@
 	// SummaryInterval is the time between two rounds of a relay.
 	SummaryInterval = 2 * time.Second
 	// SummaryStale is the age after which a data centre counts as out of reach.
-	SummaryStale = 45 * time.Second
+	SummaryStale = 60 * time.Second
 	// RelayStale is the age after which a data centre's relay is not relied on to
 	// speak for its region.
-	RelayStale = 30 * time.Second
+	RelayStale = 45 * time.Second
 	// RelayCount is the number of relays in each data centre.
 	RelayCount = 2
 
@@ -64,9 +64,11 @@
 	// MaxLoad is the largest opaque payload in bytes.
 	MaxLoad = 64
 	// MaxMembers and MaxSummaries bound the news in a Ping or Ack. Free places
-	// are filled with other members in turn, so that the size hardly varies.
-	MaxMembers   = 6
-	MaxSummaries = 2
+	// are filled with other members in turn, so that the size hardly varies. With
+	// 2 summaries some of 800 nodes heard nothing new of one of 18 data centres
+	// for 56 s, too close to SummaryStale.
+	MaxMembers   = 5
+	MaxSummaries = 3
 	// MaxJoinMembers bounds the members in the answer to a join. joinAnswers and
 	// shortAnswers are the numbers of long and of short answers to joins in a
 	// second; beyond them a joining VM gets none and tries again. A flood of joins
