--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 GO ?= go
 
 .PHONY: all build check fmt test demo history model bench capacity
+.PHONY: all build check fmt test demo capacity
 
 all: check test
 
@@ -44,3 +45,7 @@
 demo:
 	$(GO) build -o bin/ ./cmd/...
 	./bin/demo
+# capacity measures the control plane's cost on this machine in about two
+# minutes; docs/CAPACITY.md quotes its tables.
+capacity:
+	$(GO) run ./cmd/capacity --seed $(SEED)
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -46,6 +46,16 @@
 	PlacementOrderFailed ID = 605
 	PlacementEngineLost  ID = 606
 	PlacementBlocked     ID = 607
+// Membership and spread events.
+const (
+	MemberJoined          ID = 501
+	MemberLost            ID = 502
+	MemberLeaving         ID = 503
+	PeerConnectionFailed  ID = 504
+	DataCentreUnreachable ID = 505
+	DataCentreBack        ID = 506
+	SettingsBehind        ID = 507
+	SettingsCaughtUp      ID = 508
 )
 
 var definitions = map[ID]definition{
@@ -86,4 +96,12 @@
 	PlacementOrderFailed: {"placement_order_failed", zerolog.WarnLevel},
 	PlacementEngineLost:  {"placement_engine_lost", zerolog.WarnLevel},
 	PlacementBlocked:     {"placement_blocked", zerolog.ErrorLevel},
+	MemberJoined:          {"member_joined", zerolog.InfoLevel},
+	MemberLost:            {"member_lost", zerolog.WarnLevel},
+	MemberLeaving:         {"member_leaving", zerolog.InfoLevel},
+	PeerConnectionFailed:  {"peer_connection_failed", zerolog.WarnLevel},
+	DataCentreUnreachable: {"data_centre_unreachable", zerolog.WarnLevel},
+	DataCentreBack:        {"data_centre_back", zerolog.InfoLevel},
+	SettingsBehind:        {"settings_behind", zerolog.WarnLevel},
+	SettingsCaughtUp:      {"settings_caught_up", zerolog.InfoLevel},
 }
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -22,9 +22,11 @@
 	// IndirectProbes is the number of members asked to probe on a VM's behalf.
 	IndirectProbes = 3
 	// SuspicionFactor times the logarithm to base 2 of the number of members, in
-	// seconds, is how long a suspicion waits for its refutation. News needs about
-	// this many probe rounds to reach all members and come back.
-	SuspicionFactor = 0.6
+	// seconds, is how long a suspicion waits for its refutation. The suspected
+	// member hears of it directly and refutes it within a round trip; the rest is
+	// for the refutation to overtake the suspicion. At 0.6 a death took 10.1 s to
+	// reach all 33 members of a data centre, over the limit of 10 s.
+	SuspicionFactor = 0.45
 	// SuspicionMin is the least time that a suspicion waits for its refutation.
 	SuspicionMin = 2 * time.Second
 	// TombstoneTime is how long a dead member is remembered, so that late news
@@ -39,30 +41,49 @@
 	// SummaryInterval is the time between two rounds of a relay.
 	SummaryInterval = 2 * time.Second
 	// SummaryStale is the age after which a data centre counts as out of reach.
-	SummaryStale = 30 * time.Second
+	SummaryStale = 60 * time.Second
 	// RelayStale is the age after which a data centre's relay is not relied on to
 	// speak for its region.
-	RelayStale = 15 * time.Second
+	RelayStale = 45 * time.Second
 	// RelayCount is the number of relays in each data centre.
 	RelayCount = 2
 
-	// SeedInterval is the time between two contacts of a VM with a seed, and
-	// JoinInterval the same while the VM knows no other member.
-	SeedInterval = 20 * time.Second
-	JoinInterval = time.Second
+	// SeedInterval is the least time between two contacts of a VM with a seed.
+	// SeedIntervalPerVM times the number of VMs is used when it is longer, so that
+	// all seeds together answer one VM a second at any size. JoinInterval is used
+	// while the VM knows no other member.
+	SeedInterval      = 20 * time.Second
+	SeedIntervalPerVM = time.Second
+	JoinInterval      = time.Second
+	// startTime is how long after its start a VM contacts seeds at SeedInterval at
+	// any size of the fleet, because it may have joined a small group only.
+	startTime = 2 * time.Minute
+	// PullInterval is the time between two requests for members that this VM lacks.
+	PullInterval = time.Second
 
 	// MaxLoad is the largest opaque payload in bytes.
 	MaxLoad = 64
 	// MaxMembers and MaxSummaries bound the news in a Ping or Ack. Free places
-	// are filled with other members in turn, so that the size hardly varies.
-	MaxMembers   = 4
-	MaxSummaries = 2
-	// MaxJoinMembers bounds the members in the answer to a join, and
-	// joinAnswers the number of such answers in a second; further ones are short.
+	// are filled with other members in turn, so that the size hardly varies. With
+	// 2 summaries some of 800 nodes heard nothing new of one of 18 data centres
+	// for 56 s, too close to SummaryStale.
+	MaxMembers   = 5
+	MaxSummaries = 3
+	// MaxJoinMembers bounds the members in the answer to a join. joinAnswers and
+	// shortAnswers are the numbers of long and of short answers to joins in a
+	// second; beyond them a joining VM gets none and tries again. A flood of joins
+	// thus costs a VM at most about 2 x 5 KB and 24 x 700 B a second.
 	MaxJoinMembers = 32
-	joinAnswers    = 4
-	// MaxRelayed bounds the summaries in a message between relays.
+	joinAnswers    = 2
+	shortAnswers   = 24
+	// MaxRelayed bounds the summaries in a message between regions, which are
+	// those of the sender's region.
 	MaxRelayed = 4
+	// SpeakerPassOn and RelayPassOn are the numbers of other summaries in a
+	// message within a region: the relays of the data centre that speaks for the
+	// region pass on those of the other regions.
+	SpeakerPassOn = 7
+	RelayPassOn   = 1
 	// sampleSize is the number of contacts in a summary beside the relays.
 	sampleSize = 1
 	// announceFan is the number of members that a leaving VM tells directly at each tick.
@@ -159,24 +180,28 @@
 	// remoteOrder lists the keys of remotes, sorted.
 	remoteOrder []fleet.DataCentreID
 
+	began        time.Time
 	now          time.Time
 	lastTick     time.Time
 	nextProbe    time.Time
 	nextSummary  time.Time
 	nextSeed     time.Time
 	nextCheck    time.Time
+	nextPull     time.Time
+	nextContact  time.Time
+	pullAfter    fleet.VMID
 	probe        *probe
 	relayed      map[uint64]relayedProbe
 	sequence     uint64
 	probeIndex   int
 	fillIndex    int
 	summaryIndex int
+	passOnIndex  int
 	seedIndex    int
 	sampleIndex  int
 	round        int
 	announcing   int
-	joinTokens   float64
-	joinRefill   time.Time
+	long, short  bucket
 	actions      []Action
 }
 
@@ -192,11 +217,12 @@
 			Address: v.Address, PeerAddress: v.PeerAddress,
 			Incarnation: config.Incarnation,
 		},
-		members:    make(map[fleet.VMID]*member),
-		remotes:    make(map[fleet.DataCentreID]*remote),
-		relayed:    make(map[uint64]relayedProbe),
-		joinTokens: joinAnswers,
-		now:        now, lastTick: now, joinRefill: now, nextSeed: now,
+		members: make(map[fleet.VMID]*member),
+		remotes: make(map[fleet.DataCentreID]*remote),
+		relayed: make(map[uint64]relayedProbe),
+		long:    bucket{rate: joinAnswers, tokens: joinAnswers, at: now},
+		short:   bucket{rate: shortAnswers, tokens: shortAnswers, at: now},
+		now:     now, lastTick: now, nextSeed: now,
 	}
 	// A random phase spreads the VMs' work over the interval.
 	m.nextProbe = now.Add(time.Duration(random.Int64N(int64(ProbeInterval))))
@@ -277,7 +303,7 @@
 	case *PingReq:
 		m.receivePingReq(x)
 	case *Summaries:
-		m.mergeSummaries(x.Summaries)
+		m.receiveSummaries(x)
 	}
 	return m.take()
 }
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -10,6 +10,7 @@
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/quarantine"
+	"github.com/cornelline/cornelline/pkg/share"
 	"github.com/cornelline/cornelline/pkg/spread"
 )
 
@@ -35,6 +36,8 @@
 	KindSnapshot
 	KindStatus
 	KindNotices
+	KindAsk
+	KindGrant
 	KindExplain
 	KindExplanation
 	KindQuarantine
@@ -68,6 +71,8 @@
 	KindSnapshot:     reflect.TypeFor[spread.Snapshot](),
 	KindStatus:       reflect.TypeFor[spread.Status](),
 	KindNotices:      reflect.TypeFor[spread.Notices](),
+	KindAsk:          reflect.TypeFor[share.Ask](),
+	KindGrant:        reflect.TypeFor[share.Grant](),
 	KindExplain:      reflect.TypeFor[Explain](),
 	KindExplanation:  reflect.TypeFor[Explanation](),
 	KindQuarantine:   reflect.TypeFor[quarantine.Message](),
