--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -166,12 +166,23 @@
 		case membership.Send:
 			_ = c.server.peers.Send(a.To, a.Message) // a lost message is repeated by the protocol
 		case membership.Changed:
-			c.server.log.Log(event.MemberChanged).Str("member", string(a.Member.ID)).Bool("live", a.Live).Bool("leaving", a.Member.Leaving).Send()
+			c.server.log.Log(memberEvent(a)).Str("member", string(a.Member.ID)).Str("data_centre", string(a.Member.DataCentre)).Send()
 			c.dirty = true
 		}
 	}
 }
 
+// memberEvent returns the log event of a change in membership.
+func memberEvent(c membership.Changed) event.ID {
+	switch {
+	case !c.Live:
+		return event.MemberLost
+	case c.Member.Leaving:
+		return event.MemberLeaving
+	}
+	return event.MemberJoined
+}
+
 // act carries out the actions of outlier detection.
 func (c *control) act(actions []outlier.Action) {
 	for _, a := range actions {
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -46,6 +46,8 @@
 	PlacementOrderFailed ID = 605
 	PlacementEngineLost  ID = 606
 	PlacementBlocked     ID = 607
+)
+
 // Membership and spread events.
 const (
 	MemberJoined          ID = 501
@@ -82,20 +84,18 @@
 	SnapshotMismatch: {"snapshot_mismatch", zerolog.ErrorLevel},
 	ClaimUnknown:     {"claim_outcome_unknown", zerolog.WarnLevel},
 
-	MemberChanged: {"member_changed", zerolog.InfoLevel},
-
 	UpstreamEjected:  {"upstream_ejected", zerolog.WarnLevel},
 	UpstreamReturned: {"upstream_returned", zerolog.InfoLevel},
 
-	RehearsalStarted:     {"rehearsal_started", zerolog.WarnLevel},
-	RehearsalEnded:       {"rehearsal_ended", zerolog.InfoLevel},
-	PlacementLeaseTaken:  {"placement_lease_taken", zerolog.InfoLevel},
-	PlacementLeaseLost:   {"placement_lease_lost", zerolog.WarnLevel},
-	PlacementPlanned:     {"placement_planned", zerolog.InfoLevel},
-	PlacementReissued:    {"placement_order_reissued", zerolog.WarnLevel},
-	PlacementOrderFailed: {"placement_order_failed", zerolog.WarnLevel},
-	PlacementEngineLost:  {"placement_engine_lost", zerolog.WarnLevel},
-	PlacementBlocked:     {"placement_blocked", zerolog.ErrorLevel},
+	RehearsalStarted:      {"rehearsal_started", zerolog.WarnLevel},
+	RehearsalEnded:        {"rehearsal_ended", zerolog.InfoLevel},
+	PlacementLeaseTaken:   {"placement_lease_taken", zerolog.InfoLevel},
+	PlacementLeaseLost:    {"placement_lease_lost", zerolog.WarnLevel},
+	PlacementPlanned:      {"placement_planned", zerolog.InfoLevel},
+	PlacementReissued:     {"placement_order_reissued", zerolog.WarnLevel},
+	PlacementOrderFailed:  {"placement_order_failed", zerolog.WarnLevel},
+	PlacementEngineLost:   {"placement_engine_lost", zerolog.WarnLevel},
+	PlacementBlocked:      {"placement_blocked", zerolog.ErrorLevel},
 	MemberJoined:          {"member_joined", zerolog.InfoLevel},
 	MemberLost:            {"member_lost", zerolog.WarnLevel},
 	MemberLeaving:         {"member_leaving", zerolog.InfoLevel},
--- a/pkg/event/events_fleet.go
+++ b/pkg/event/events_fleet.go
@@ -1,8 +1,5 @@
 package event
 
-// Membership events.
-const MemberChanged ID = 501
-
 // Health events.
 const (
 	UpstreamEjected  ID = 701
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -305,7 +305,7 @@
 		return append(out, Action{Kind: Spared, Upstream: u.member.ID, Reason: why})
 	}
 	if u.phase == ejected {
-		return d.stayEjected(now, u, confirmed, out)
+		return d.stayEjected(now, u, sure != unsure, out)
 	}
 	u.phase, u.why = ejected, why
 	u.until = now.Add(min(d.cfg.BaseEjection<<min(u.ejections, 16), d.cfg.MaxEjection))
