--- a/pkg/pipeline/driver_test.go
+++ b/pkg/pipeline/driver_test.go
@@ -208,7 +208,7 @@
 	{name: "an event is crossed", before: func(b *bench) { b.fault("a0", standin.Faults{CrossEvery: 8}) },
 		suspects: []fleet.UpstreamID{"a0"}, attempts: 2, start: promptLen + 6, transfer: true},
 	{name: "empty answer", before: func(b *bench) { b.fault("a0", standin.Faults{Empty: true}) },
-		suspects: []fleet.UpstreamID{"a0"}, attempts: 2},
+		suspects: []fleet.UpstreamID{"a0"}, attempts: 2, start: promptLen - 1, transfer: true},
 	{name: "stream is cut again and again", before: func(b *bench) { b.fault("a0", standin.Faults{CutAfter: 5}) },
 		attempts: 3, start: promptLen + 9, transfer: true},
 	{name: "connections to the head go silent", during: func(b *bench, n int) {
--- a/pkg/standin/generate.go
+++ b/pkg/standin/generate.go
@@ -12,6 +12,10 @@
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
 
+// endDelay is how long the KV cache stays after the final event, so that a final
+// event that got lost does not race with the freeing.
+const endDelay = 100 * time.Millisecond
+
 // endLimit bounds the calls that tell the other stages of the end.
 const endLimit = time.Second
 
@@ -107,8 +111,9 @@
 	call.End = true
 	call.Tokens, call.Activations = nil, nil
 	go func() {
-		ctx, cancel := context.WithTimeout(e.lifetime(), endLimit)
+		ctx, cancel := context.WithTimeout(e.lifetime(), endDelay+endLimit)
 		defer cancel()
+		_ = sleep(ctx, endDelay)
 		_, _ = e.forward(ctx, call, func() {})
 	}()
 	return nil
