Make the replica's tests independent of their order

Cause: uuid.NewV7 keeps the latest time of all tests in one process, so keys lay in the future of a later test's virtual clock; calls to the fake log could outlive the test. Change: keys come from the test's own clock, and each test waits for its calls.

--- a/pkg/replica/batching_test.go
+++ b/pkg/replica/batching_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
 	"github.com/cornelline/cornelline/pkg/record"
@@ -31,8 +30,8 @@
 	const bound = batchAppend + batchRead
 	for _, row := range []struct{ rate, vms int }{{10, 1}, {100, 1}, {1000, 1}, {10, 4}, {100, 4}, {1000, 4}} {
 		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
+			ctx, stop := started(t)
+			defer stop()
 			l := &fakeLog{latency: batchAppend, limit: rate.NewLimiter(batchLimit, batchLimit/10)}
 			var runners []*replica.Runner
 			for range row.vms {
@@ -62,7 +61,7 @@
 		r := runners[draw.IntN(len(runners))]
 		all.Go(func() {
 			called := time.Now()
-			d, err := r.Claim(ctx, newRequest(uuid.Must(uuid.NewV7()).String()))
+			d, err := r.Claim(ctx, newRequest(newKey().String()))
 			took := time.Since(called) - batchAppend - batchRead
 			mu.Lock()
 			added = append(added, took)
--- a/pkg/replica/history_test.go
+++ b/pkg/replica/history_test.go
@@ -414,6 +414,7 @@
 		w.converge()
 		cancel()
 		w.done.Wait()
+		time.Sleep(time.Minute) // calls to the log under way return
 	})
 	lines := []string{}
 	for _, op := range w.calls {
--- a/pkg/replica/rules_test.go
+++ b/pkg/replica/rules_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/matryer/is"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
@@ -295,13 +294,13 @@
 func TestRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
+		ctx, stop := started(t)
+		defer stop()
 		l := &fakeLog{latency: time.Millisecond}
 		gone := false
 		r := run(ctx, l, replica.RunnerConfig{VM: "a", HolderGone: func(fleet.VMID) bool { return gone }})
 		other := run(ctx, l, replica.RunnerConfig{VM: "b"})
-		key := uuid.Must(uuid.NewV7())
+		key := newKey()
 		_, err := other.Claim(ctx, newRequest(key.String()))
 		is.NoErr(err)
 		time.Sleep(time.Second)
@@ -318,19 +317,19 @@
 		time.Sleep(2 * time.Minute)
 		refused(key.String(), result.ClaimUnknown, result.OutcomeUnknown)
 		refused("no uuid", result.InvalidHeader, result.NotRun)
-		early := uuid.Must(uuid.NewV7())
+		early := newKey()
 		early[0]++
 		refused(early.String(), result.InvalidHeader, result.NotRun)
-		unused := uuid.Must(uuid.NewV7())
+		unused := newKey()
 		time.Sleep(7 * time.Hour)
 		refused(unused.String(), result.KeyExpired, result.OutcomeUnknown)
 
-		fresh := uuid.Must(uuid.NewV7()).String()
+		fresh := newKey().String()
 		l.mu.Lock()
 		l.down = true
 		l.mu.Unlock()
-		call, stop := context.WithTimeout(ctx, time.Second)
-		defer stop()
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
 		_, err = r.ProposeSettings(call, record.Settings{Branch: "team/a", Value: []byte(`{}`)})
 		is.Equal(codeOf(err), result.SettingsPending)
 		before := time.Now()
--- a/pkg/replica/runner_test.go
+++ b/pkg/replica/runner_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,6 +91,16 @@
 	return r
 }
 
+// started returns a context for runners, and the function that ends them and
+// lets their calls to the log return, because virtual time stops with the test.
+func started(t *testing.T) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	return ctx, func() {
+		cancel()
+		time.Sleep(time.Minute)
+	}
+}
+
 func codeOf(err error) result.Code {
 	var e *result.Error
 	if errors.As(err, &e) {
@@ -97,6 +109,17 @@
 	return 0
 }
 
+var keys atomic.Uint64
+
+// newKey returns a version 7 UUID of the virtual time. uuid.NewV7 isn't used,
+// because it never goes back behind the time of an earlier test.
+func newKey() (key uuid.UUID) {
+	binary.BigEndian.PutUint64(key[:8], uint64(time.Now().UnixMilli())<<16)
+	binary.BigEndian.PutUint64(key[8:], keys.Add(1))
+	key[6], key[8] = 0x70, 0x80
+	return key
+}
+
 func newRequest(key string) replica.ClaimRequest {
 	return replica.ClaimRequest{Team: "mill", Route: "orders", Key: key, Body: sha256.Sum256([]byte("order"))}
 }
@@ -107,8 +130,8 @@
 func TestSettingsOverLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
+		ctx, stop := started(t)
+		defer stop()
 		l := &fakeLog{latency: 10 * time.Millisecond, loseAnswers: 1}
 		r := run(ctx, l, replica.RunnerConfig{})
 		version, err := r.ProposeSettings(ctx, record.Settings{Branch: "fleet", Value: []byte(`{"drain":{"max":"90s"}}`)})
@@ -131,12 +154,12 @@
 func TestClaimOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
+		ctx, stop := started(t)
+		defer stop()
 		l := &fakeLog{latency: 10 * time.Millisecond}
 		a := run(ctx, l, replica.RunnerConfig{VM: "a"})
 		b := run(ctx, l, replica.RunnerConfig{VM: "b"})
-		key := uuid.Must(uuid.NewV7()).String()
+		key := newKey().String()
 		d, err := a.Claim(ctx, newRequest(key))
 		is.NoErr(err)
 		_, err = b.Claim(ctx, newRequest(key))
