admission: tell a flood by its arrivals

Cause: at the start of an urgent flood the started rate does not show it for some seconds; urgent work took the whole extra depth and lookups kept 99%. Tried: half of the depth kept for lookups at all times (urgent back after the loss of a data centre 7..24 s), depth for every team below its share (lookups 99%).

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -76,7 +76,7 @@
 		MaxWait:   [fleet.RankCount]time.Duration{900 * time.Millisecond, 800 * time.Millisecond, 0},
 		TeamBurst: 20 * time.Second,
 		MaxQueued: [fleet.RankCount]int{10_000, 10_000, 200_000},
-		Depth:     0.2,
+		Depth:     0.25,
 		Headroom:  0,
 		SlotRate:  20,
 		Safety:    2,
--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -15,13 +15,16 @@
 
 // shareMargin covers what a rank loses between being owed a start and a slot
 // becoming free; without it a backlogged rank gets 94 to 99% of its share.
-const shareMargin = 1.08
+const shareMargin = 1.12
 
 // withinMargin is how far the measured rate of lookups may exceed their share
 // before they count as over it: over a few seconds the rate of short requests
 // varies by a tenth, and lookups at 80% of their share would often seem above.
 const withinMargin = 1.5
 
+// floodFactor is the multiple of a rank's share above which arrivals count as a flood.
+const floodFactor = 1.5
+
 // pipeline is the queue and the in-flight account of one model.
 type pipeline struct {
 	slots    int
@@ -35,6 +38,8 @@
 	level [fleet.RankCount]float64
 	// used is the recent started cost of a rank, decaying by rateHalfLife.
 	used [fleet.RankCount]float64
+	// offered is the same of arrivals, refused ones included.
+	offered [fleet.RankCount]float64
 	// doneCost and doneTime are decaying sums over finished requests.
 	doneCost, doneTime float64
 	decayedAt          time.Time
@@ -61,6 +66,7 @@
 		wanted := float64(p.inFlight[r] + p.ranks[r].queued)
 		p.level[r] = p.level[r]*level + wanted*(1-level)
 		p.used[r] *= rate
+		p.offered[r] *= rate
 	}
 	// A floor keeps the last measured rate while nothing finishes.
 	if p.doneTime > 1 {
@@ -81,9 +87,9 @@
 	return r
 }
 
-// usedRate returns the recent started cost per second of a rank.
-func (p *pipeline) usedRate(r fleet.Rank) float64 {
-	return p.used[r] * math.Ln2 / rateHalfLife.Seconds()
+// perSecond converts a sum that decays by rateHalfLife into a rate.
+func (p *pipeline) perSecond(sum float64) float64 {
+	return sum * math.Ln2 / rateHalfLife.Seconds()
 }
 
 // rankRate predicts the cost units per second that rank r gets while backlogged:
@@ -96,7 +102,7 @@
 		if k == r {
 			continue
 		}
-		used := p.usedRate(k)
+		used := p.perSecond(p.used[k])
 		if k > r {
 			used = min(used, cfg.Shares[k]*total)
 		}
@@ -130,17 +136,21 @@
 }
 
 // allowed reports whether rank r may start another request. A rank that is owed
-// its guaranteed share, and urgent and lookup work within theirs, may use the
-// extra depth and other ranks' reserves: its wait would otherwise depend on how
-// long the requests of other ranks run.
+// its guaranteed share, urgent and lookup work within theirs, and urgent work of
+// a team below its share may use the extra depth and other ranks' reserves: its
+// wait would otherwise depend on how long other requests run.
 func (p *pipeline) allowed(cfg *Config, r fleet.Rank, owed bool) bool {
 	if p.slots <= 0 {
 		return false
 	}
-	within := r != fleet.Overnight && p.usedRate(r) < p.entitled(cfg, r)*p.rate()
-	if owed || within {
-		// At least one, so that a pipeline of few slots also lets them overtake.
-		return p.total < p.slots+max(1, int(cfg.Depth*float64(p.slots)))
+	// At least one, so that a pipeline of few slots also lets them overtake.
+	depth := max(1, int(cfg.Depth*float64(p.slots)))
+	if owed || p.within(cfg, r) {
+		return p.total < p.slots+depth
+	}
+	if r == fleet.Urgent && p.ranks[r].headBehind() {
+		// In a flood of urgent work the rest stays for lookups.
+		return p.total < p.slots+depth*3/4
 	}
 	kept := 0
 	for k := range fleet.Rank(fleet.RankCount) {
@@ -151,6 +161,17 @@
 	return p.total+kept < p.slots
 }
 
+// within reports whether a latency-bound rank stays within its share, by what it
+// started and by what arrived. The arrivals show a flood at once; the starts
+// follow it with a delay of some seconds.
+func (p *pipeline) within(cfg *Config, r fleet.Rank) bool {
+	if r == fleet.Overnight {
+		return false
+	}
+	share := p.entitled(cfg, r) * p.rate()
+	return p.perSecond(p.used[r]) < share && p.perSecond(p.offered[r]) < floodFactor*share
+}
+
 // next returns the entry to start now, nil when none may start.
 func (p *pipeline) next(cfg *Config, now time.Time) *entry {
 	if cfg.Order != Fair {
--- a/pkg/admission/predict.go
+++ b/pkg/admission/predict.go
@@ -20,6 +20,9 @@
 	// overnightMaxShare bounds the share that accepted work in danger may take
 	// when capacity was lost after it was accepted.
 	overnightMaxShare = 0.3
+	// dangerMargin is how much more than just enough work in danger gets, as the
+	// last requests of a bucket still have to run.
+	dangerMargin = 1.15
 	// overtaken allows for work that arrives later and is served before the
 	// queued work of a team that is ahead of its share.
 	overtaken = 1.5
@@ -103,7 +106,7 @@
 	for _, b := range p.ranks[fleet.Overnight].buckets {
 		sum += b.work
 		left := max(b.end.Sub(now).Seconds(), 1)
-		share = max(share, sum/left/total)
+		share = max(share, dangerMargin*sum/left/total)
 	}
 	return min(share, max(overnightMaxShare, cfg.Shares[fleet.Overnight]))
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -101,6 +101,7 @@
 	if req.Rank == fleet.Overnight && req.Deadline.IsZero() && q.cfg.Order == Fair {
 		req.Deadline = now.Add(defaultNight)
 	}
+	p.offered[req.Rank] += req.Cost
 	e := q.newEntry(now, req, p)
 	if code, drain := q.check(p, e, now); code != 0 {
 		q.release(e)
--- a/pkg/admission/rankqueue.go
+++ b/pkg/admission/rankqueue.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// headBehind reports whether the team of the next entry stays below the floor
+// when the entry starts: it got less than the others.
+func (q *rankQueue) headBehind() bool {
+	e := q.head()
+	return e != nil && e.team.counter+e.req.Cost/e.team.weight <= q.floor
+}
+
 // remove takes an entry out of its lane and drops empty lanes and buckets.
 func (q *rankQueue) remove(e *entry) {
 	l, t := e.lane, e.team
