placement: keep more service during changes, fewer loads after a loss

Cause: re-placement lowered service below the level right after the loss (1129 of 1552 tokens/s after losing a third), and boundaries in force left plans at 0.90 of the bound. Change: KeepShare counts from what serves when the plan is adopted, the change that costs least goes first when all are held back, Replan halves long segments and tries data centres apart and together; fewer trial moves on small fleets.

--- a/pkg/placement/engineview.go
+++ b/pkg/placement/engineview.go
@@ -31,6 +31,7 @@
 	inFlight   bool
 	fenced     bool // an order of this tenure went out
 	orderedAt  time.Time
+	triedAt    time.Time // last check whether the engine may be taken
 	answeredAt time.Time
 	loadEnds   time.Time // expected end of the load that was ordered
 }
--- a/pkg/placement/loads.go
+++ b/pkg/placement/loads.go
@@ -13,6 +13,14 @@
 // further load starts: the weight store is slower than it says.
 const maxOverdue = 3
 
+// maxTried limits the engines for which one tick computes the throughput
+// without them, and retryTake is when one is tried again: at 2,000 engines
+// each computation takes about a millisecond.
+const (
+	maxTried  = 24
+	retryTake = time.Second
+)
+
 // loadChoice is an engine whose wanted assignment could be ordered.
 type loadChoice struct {
 	id       fleet.UpstreamID
@@ -28,11 +36,17 @@
 	}
 	choices, waiting := o.choices(now)
 	started := false
+	tried := 0
 	for _, c := range choices {
-		if o.storeFreeAt.Sub(now) > o.config.StoreLead {
+		if o.storeFreeAt.Sub(now) > o.config.StoreLead || tried == maxTried {
 			return
 		}
 		v := o.engines[c.id]
+		if now.Before(v.triedAt.Add(retryTake)) {
+			continue
+		}
+		tried++
+		v.triedAt = now
 		if o.mayTake(c.id, v, o.config.KeepShare) {
 			o.load(now, c.id, v)
 			started = true
@@ -54,12 +68,20 @@
 // plan that leaves the blocking engines as they are, so that the others
 // complete a chain that relieves them.
 func (o *Owner) unblock(now time.Time, choices []loadChoice) {
+	best, most := fleet.UpstreamID(""), -1.0
 	for _, c := range choices {
-		if v := o.engines[c.id]; o.mayTake(c.id, v, 0) {
-			o.load(now, c.id, v)
-			return
+		v := o.engines[c.id]
+		if !o.mayTake(c.id, v, 0) {
+			continue
+		}
+		if rest, _ := o.serving(o.models[v.intended.Model], c.id); rest > most {
+			best, most = c.id, rest
 		}
 	}
+	if most >= 0 {
+		o.load(now, best, o.engines[best])
+		return
+	}
 	for _, c := range choices {
 		v := o.engines[c.id]
 		m, ok := o.models[v.intended.Model]
@@ -219,7 +241,7 @@
 	if rest <= 0 || (wanted > 0 && restWanted <= 0) {
 		return false
 	}
-	return rest >= keep*o.plan.Throughput[m.ID] || rest >= total*(1-1e-9)
+	return rest >= keep*o.base[m.ID] || rest >= total*(1-1e-9)
 }
 
 // serving returns the throughput of the engines other than without that
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -37,7 +37,8 @@
 	HoldDown, MaxHoldDown time.Duration
 	// StoreLead is how much work may wait at the weight store, in time at its rate.
 	StoreLead time.Duration
-	// KeepShare is the share of a model's serving throughput that changes leave in place.
+	// KeepShare is the share of what a model serves at the start of a change that
+	// stays, unless the change cannot go on otherwise.
 	KeepShare float64
 	// OrderTimeout is how long an order's call may last.
 	OrderTimeout time.Duration
@@ -49,7 +50,7 @@
 		Self: self, Resource: "placement", NewID: record.NewID,
 		LeasePeriod: 10 * time.Second, ReadBack: 2 * time.Second, ReportLag: time.Second,
 		LossConfirm: 2 * time.Second, HoldDown: 30 * time.Second, MaxHoldDown: 15 * time.Minute,
-		StoreLead: time.Second, KeepShare: 0.5, OrderTimeout: 2 * time.Second,
+		StoreLead: time.Second, KeepShare: 0.75, OrderTimeout: 2 * time.Second,
 	}
 }
 
@@ -67,6 +68,7 @@
 	order   []fleet.UpstreamID // of engines, as in the input
 
 	plan         Plan
+	base         map[fleet.ModelID]float64 // served when the plan was adopted
 	planned      bool
 	dirty        bool
 	planInFlight bool
@@ -247,6 +249,10 @@
 	}
 	o.plan = e.Plan
 	o.planned = true
+	o.base = map[fleet.ModelID]float64{}
+	for _, m := range o.input.Models {
+		o.base[m.ID], _ = o.serving(m, "")
+	}
 	o.blocked = false
 	o.counters.Plans++
 	for id, v := range o.engines {
--- a/pkg/placement/owner_test.go
+++ b/pkg/placement/owner_test.go
@@ -32,7 +32,8 @@
 // from the loss, and against loads faster than the store.
 func TestCapacityReturnsAtStoreRate(t *testing.T) {
 	losses := map[string]func(int, Engine) bool{
-		"one engine":            func(i int, _ Engine) bool { return i == 5 },
+		"one fast engine":       func(i int, _ Engine) bool { return i == 4 },
+		"one slow engine":       func(i int, _ Engine) bool { return i == 5 },
 		"a third of engines":    func(i int, _ Engine) bool { return i%3 == 1 && i%2 == 0 || i%6 == 5 },
 		"the first data centre": func(_ int, e Engine) bool { return e.DataCentre == "dc0" },
 	}
@@ -58,7 +59,7 @@
 			took, dictated := s.now.Sub(at).Seconds(), (s.ordered-from)/s.rate
 			t.Logf("lost %d engines: served %.0f, after the loss %.0f, lowest %.0f, at last %.0f; loaded %.1f GiB; took %.1f s, store dictates %.1f s: %.3f; in force %.3f of bound",
 				count, before, after, least, s.served(), (s.ordered-from)/gib, took, dictated, took/dictated, s.vms[s.owner()].owner.plan.Ratio())
-			if took > 1.2*dictated && dictated > 20 {
+			if dictated > 0 && took > 1.2*dictated {
 				t.Errorf("took %.1f s, more than 1.2 times %.1f s", took, dictated)
 			}
 			if len(s.takenDown) > 0 {
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -25,7 +25,7 @@
 
 // DefaultSettings returns the settings of a fleet whose operators set nothing.
 func DefaultSettings() Settings {
-	return Settings{Spare: true, SpareCost: 0.05, GoodEnough: 0.98, LocalCost: 0.03, MinGain: 0.05}
+	return Settings{Spare: true, SpareCost: 0.05, GoodEnough: 0.98, LocalCost: 0.03, MinGain: 0.03}
 }
 
 // Planner computes plans. It has no state.
--- a/pkg/placement/replan.go
+++ b/pkg/placement/replan.go
@@ -43,7 +43,11 @@
 
 // minReplanRatio is the share of the bound below which Replan also tries a plan
 // from nothing; freshGain is what that must gain, since it loads nearly every engine.
+// replanEnough is the share at which no further moves are tried;
+// maxReplanMoves limits the trial moves of one search on large fleets.
 const (
+	replanEnough   = 0.95
+	maxReplanMoves = 200000
 	minReplanRatio = 0.9
 	freshGain      = 0.1
 )
@@ -54,24 +58,32 @@
 	m := in.Models[model]
 	rng := rand.New(rand.NewPCG(in.Seed, uint64(model)))
 	boundaries := heldBoundaries(in, m, engines)
-	units, target := p.units(in, m, engines, zonings(in, top, m, engines)[0])
 	spare := p.Settings.Spare && spareFits(in, m, engines)
-	enough := p.Settings.GoodEnough * hardwareBound(pick(in.Engines, engines), []Model{m}) * m.Demand
+	enough := replanEnough * hardwareBound(pick(in.Engines, engines), []Model{m}) * m.Demand
+	moves := max(searchMoves*len(engines), min(maxReplanMoves, refineMoves*max(minSearchMoves, searchMoves*len(engines))))
 	var found []candidate
 	best := 0
-	for _, moving := range movingCosts {
+	try := func(moving float64, zones []int) bool {
+		units, target := p.units(in, m, engines, zones)
 		a := newArrangement(units, slices.Clone(boundaries), target, spare)
 		a.moving = moving
 		a.hold(in, m, engines)
 		a.greedy(idleUnits(a))
-		a.anneal(rng, max(minSearchMoves, searchMoves*len(units)))
+		a.anneal(rng, moves)
 		c := measure(in, top, m, engines, a)
 		found = append(found, c)
 		if compareCandidates(c, found[best], spare) < 0 {
 			best = len(found) - 1
 		}
-		if (c.spare || !spare) && c.score >= enough*(1-p.Settings.MinGain) {
-			break
+		return (c.spare || !spare) && c.score >= enough
+	}
+	zonings := zonings(in, top, m, engines)
+search:
+	for _, moving := range movingCosts {
+		for _, zones := range zonings {
+			if try(moving, zones) {
+				break search
+			}
 		}
 	}
 	for _, c := range found[:best] {
@@ -127,9 +139,25 @@
 			b = slices.Insert(b, i+1, b[i]+(length+parts-1)/parts)
 		}
 	}
+	for len(b) <= replanSegments {
+		longest := 0
+		for i := range len(b) - 1 {
+			if b[i+1]-b[i] > b[longest+1]-b[longest] {
+				longest = i
+			}
+		}
+		if b[longest+1]-b[longest] < 2 {
+			break
+		}
+		b = slices.Insert(b, longest+1, (b[longest]+b[longest+1])/2)
+	}
 	return b
 }
 
+// replanSegments is the number of segments up to which long ones are halved,
+// so that engines that move have more ranges to choose from.
+const replanSegments = 20
+
 // allocateFrom divides the engines between the models from what they hold, and
 // reports whether any engine holds a range.
 func allocateFrom(in Input) ([]int, bool) {
--- a/pkg/placement/search.go
+++ b/pkg/placement/search.go
@@ -9,7 +9,7 @@
 // minSearchMoves is the least for one search.
 const (
 	searchMoves    = 400
-	minSearchMoves = 12000
+	minSearchMoves = 4000
 )
 
 // deficitWeight makes a segment below the wanted rate cost more than one above
