Send no keepalive for an answer

Cause: each Ack counted as unanswered, so a keepalive and its answer followed. Change: a frame sent within 100 ms of a received one needs no sign of life. Conclusion: silence is still found within 3 s of the first unanswered use.

--- a/pkg/wire/peer.go
+++ b/pkg/wire/peer.go
@@ -16,6 +16,10 @@
 	KeepaliveInterval = time.Second
 	// SilenceLimit is the time after which a connection that answers nothing is abandoned.
 	SilenceLimit = 3 * time.Second
+	// answerTime is the time after a received frame in which a sent one counts as
+	// its answer and needs no sign of life: without it each Ack was followed by a
+	// keepalive and its answer, 2 of 5.6 frames a second.
+	answerTime = 100 * time.Millisecond
 	// IdleLimit is the time after which an unused connection is closed.
 	IdleLimit = 5 * time.Minute
 	// QueueFrames and QueueBytes bound a peer's send queue.
@@ -64,6 +68,7 @@
 	sentSince time.Time
 	// keepaliveAt is when the last keepalive was queued.
 	keepaliveAt time.Time
+	heardAt     time.Time
 	lastUse     time.Time
 }
 
@@ -297,7 +302,8 @@
 func (p *peer) heard() {
 	p.mu.Lock()
 	p.sentSince = time.Time{}
-	p.lastUse = time.Now()
+	p.heardAt = time.Now()
+	p.lastUse = p.heardAt
 	p.mu.Unlock()
 }
 
@@ -376,7 +382,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.lastUse = now
-	if p.sentSince.IsZero() {
+	if p.sentSince.IsZero() && now.Sub(p.heardAt) > answerTime {
 		p.sentSince = now
 	}
 }
--- a/pkg/wire/transport_test.go
+++ b/pkg/wire/transport_test.go
@@ -171,6 +171,7 @@
 		<-got.messages
 		synctest.Wait()
 		first.silent.Store(true)
+		time.Sleep(time.Second) // later than an answer to the handshake
 		began := time.Now()
 		is.NoErr(a.Send("b", &membership.Ping{Sequence: 2}))
 		is.True(errors.Is(<-failures, ErrSilent))
