Hold no base part before another VM is known; make member changes cheap

Cause: TestOvershootBound found that a VM that starts cut off takes a team's whole rate; a change of members took 54 ms of the control goroutine. Change: a VM holds no base part until it has known another VM or is told that it is alone; holders are ranked by mixed hashes; make capacity measures the ledger. Conclusion: the stated bound holds in the test's worlds, in which a joining VM learns the counts from its neighbours as membership provides.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -72,6 +72,7 @@
 		printTCP(all, o)
 	}
 	printMemory(o)
+	printShare()
 	return nil
 }
 
--- a/pkg/share/ledger.go
+++ b/pkg/share/ledger.go
@@ -58,9 +58,14 @@
 
 // Place is where this VM stands in the fleet.
 type Place struct {
-	// Members are the live VMs of the own data centre that do not leave, this VM included.
+	// Members are the live VMs of the own data centre that do not leave, this VM
+	// included, by identity.
 	Members []Holder
 	Remotes []RemoteCentre
+	// Alone is set when no other VM exists: no seed is configured but this VM, or
+	// the platform's VM list names no other. Without it a VM that has never heard
+	// of another one holds no base part, because it may be cut off.
+	Alone bool
 }
 
 // Send asks the host to send a message to a peer address.
@@ -98,9 +103,12 @@
 	address string
 	rand    *rand.Rand
 
-	place     Place
-	began     time.Time
-	local     heldCount
+	place Place
+	began time.Time
+	local heldCount
+	// met is set once this VM has known another one or knows that it is alone.
+	met       bool
+	hashes    []uint64 // of the place's members
 	remote    map[fleet.DataCentreID]*heldCount
 	resources map[string]*resource
 	names     []string // sorted keys of resources
@@ -159,6 +167,7 @@
 		l.resources[name] = r
 		i, _ := slices.BinarySearch(l.names, name)
 		l.names = slices.Insert(l.names, i, name)
+		l.setHolder(name, r)
 	}
 	r.rate = rate
 }
@@ -166,9 +175,18 @@
 // SetPlace takes in the membership view.
 func (l *Ledger) SetPlace(now time.Time, p Place) {
 	l.now = now
+	same := slices.Equal(l.place.Members, p.Members)
 	l.place = p
 	l.local.set(now, len(p.Members))
 	l.holdRemotes()
+	l.met = l.met || p.Alone || len(p.Members) > 1 || len(p.Remotes) > 0
+	if same {
+		return // 2,800 teams x 178 members are too many hashes for each second
+	}
+	l.hashes = l.hashes[:0]
+	for _, h := range p.Members {
+		l.hashes = append(l.hashes, xxhash.Sum64String(string(h.ID)))
+	}
 	for name, r := range l.resources {
 		l.setHolder(name, r)
 	}
@@ -210,8 +228,12 @@
 		rank   uint64
 	}
 	best := make([]ranked, 0, Holders+1)
-	for _, h := range l.place.Members {
-		x := ranked{h, xxhash.Sum64String("holder\x00" + name + "\x00" + string(h.ID))}
+	key := xxhash.Sum64String(name)
+	for k, h := range l.place.Members {
+		x := ranked{h, mix(key ^ l.hashes[k])}
+		if len(best) == Holders && x.rank >= best[Holders-1].rank {
+			continue
+		}
 		i, _ := slices.BinarySearchFunc(best, x, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
 		if i < Holders {
 			best = slices.Insert(best, i, x)
@@ -225,6 +247,14 @@
 	return holders
 }
 
+// mix is the finalizer of splitmix64. Hashing each name with each member in full
+// took 54 ms for 2,800 teams and 178 members.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // Demand notes that callers asked for an amount of a resource, admitted or not.
 func (l *Ledger) Demand(name string, amount float64) {
 	if r := l.resources[name]; r != nil {
@@ -244,7 +274,7 @@
 
 // base returns the part that this VM holds of its own right.
 func (l *Ledger) base(now time.Time, r *resource) float64 {
-	if !r.holder || now.Sub(l.began) < SettleTime || now.Sub(r.since) < SettleTime {
+	if !r.holder || !l.met || now.Sub(l.began) < SettleTime || now.Sub(r.since) < SettleTime {
 		return 0
 	}
 	local := l.local.value
