Let a membership domain span data centres

Cause: today's 4 VMs stand in 3 data centres; a data centre of one VM notices the death of another VM only when its summary is 60 s old. Change: Config.Domain names the group whose members probe each other; it is the data centre unless set. Conclusion: today's deployments set one domain.

--- a/pkg/fleettest/cluster.go
+++ b/pkg/fleettest/cluster.go
@@ -36,11 +36,13 @@
 	Regions            int
 	DataCentresPerZone int // data centres in each region
 	Nodes              int
+	// Domain is the membership domain of all nodes; empty means the data centre.
+	Domain fleet.DataCentreID
 }
 
 // Layouts that the tests and the capacity command use.
 var (
-	Today    = Layout{Regions: 1, DataCentresPerZone: 3, Nodes: 4}
+	Today    = Layout{Regions: 1, DataCentresPerZone: 3, Nodes: 4, Domain: "all"}
 	Fifty    = Layout{Regions: 1, DataCentresPerZone: 3, Nodes: 50}
 	TwoHundr = Layout{Regions: 2, DataCentresPerZone: 3, Nodes: 200}
 	TwoYears = Layout{Regions: 6, DataCentresPerZone: 3, Nodes: 3200}
@@ -88,6 +90,7 @@
 	// OnChange hears each change of membership at a node.
 	OnChange func(n *Node, c membership.Changed)
 
+	layout    Layout
 	began     time.Time
 	rand      *rand.Rand
 	byAddress map[string]*Node
@@ -125,7 +128,7 @@
 func New(layout Layout, seed uint64) *Cluster {
 	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	c := &Cluster{
-		Now: began, began: began, Log: &Log{Delay: 5 * time.Millisecond},
+		Now: began, began: began, layout: layout, Log: &Log{Delay: 5 * time.Millisecond},
 		rand:      rand.New(rand.NewPCG(seed, 1)),
 		byAddress: make(map[string]*Node),
 		sizes:     make(map[any]int),
@@ -169,7 +172,7 @@
 	n.inbox = nil
 	random := rand.New(rand.NewPCG(c.rand.Uint64(), c.rand.Uint64()))
 	n.Membership = membership.New(membership.Config{
-		Self: n.VM, Incarnation: uint64(c.Now.UnixMilli()), Seeds: c.seeds,
+		Self: n.VM, Domain: c.layout.Domain, Incarnation: uint64(c.Now.UnixMilli()), Seeds: c.seeds,
 	}, c.Now, random)
 	n.Spread = spread.New(spread.Config{
 		Stream: "settings", Self: n.VM.ID, Address: n.VM.PeerAddress,
@@ -278,7 +281,7 @@
 	s.SetPeers(peers)
 	var remotes []string
 	for _, d := range v.DataCentres {
-		if d.DataCentre != v.Self.DataCentre && len(d.Relays) > 0 {
+		if d.DataCentre != v.Self.DomainID() && len(d.Relays) > 0 {
 			remotes = append(remotes, d.Relays[0].PeerAddress)
 		}
 	}
--- a/pkg/fleettest/measure.go
+++ b/pkg/fleettest/measure.go
@@ -94,8 +94,9 @@
 	var sum time.Duration
 	count := 0
 	for _, n := range c.Nodes {
-		for _, d := range n.Membership.View().DataCentres {
-			if d.DataCentre != n.VM.DataCentre {
+		v := n.Membership.View()
+		for _, d := range v.DataCentres {
+			if d.DataCentre != v.Self.DomainID() {
 				sum += d.Age
 				count++
 				f.SummaryAgeMax = max(f.SummaryAgeMax, d.Age)
@@ -135,7 +136,7 @@
 func (c *Cluster) neighbours(n *Node) int {
 	count := 0
 	for _, x := range c.Nodes {
-		if x != n && x.Up && x.VM.DataCentre == n.VM.DataCentre {
+		if x != n && x.Up && x.Membership.View().Self.DomainID() == n.Membership.View().Self.DomainID() {
 			count++
 		}
 	}
@@ -163,7 +164,7 @@
 	v := n.Membership.View()
 	total := len(v.Members) + 1
 	for _, d := range v.DataCentres {
-		if d.DataCentre != n.VM.DataCentre && d.Reachable {
+		if d.DataCentre != v.Self.DomainID() && d.Reachable {
 			total += int(d.Live)
 		}
 	}
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -108,6 +108,11 @@
 	// where possible, such as the start time in milliseconds. The machine
 	// corrects it when a peer remembers a higher one.
 	Incarnation uint64
+	// Domain widens the group whose members probe each other beyond the data
+	// centre, for fleets of few VMs: a data centre of one VM would else notice the
+	// death of another only after SummaryStale. All VMs of the group must name the
+	// same domain. Empty means the data centre.
+	Domain fleet.DataCentreID
 	// Seeds are peer addresses to join through, in any data centre.
 	Seeds []string
 }
@@ -219,7 +224,7 @@
 		rand:   random,
 		self: Member{
 			ID: v.ID, DataCentre: v.DataCentre, Region: v.Region,
-			Address: v.Address, PeerAddress: v.PeerAddress,
+			Address: v.Address, PeerAddress: v.PeerAddress, Domain: config.Domain,
 			Incarnation: config.Incarnation,
 		},
 		members: make(map[fleet.VMID]*member),
@@ -374,7 +379,7 @@
 		all = all[:min(len(all), RelayCount)]
 	}
 	if !m.self.Leaving {
-		consider(candidate{m.self.contact(), relayRank(m.self.DataCentre, m.self.ID)})
+		consider(candidate{m.self.contact(), relayRank(m.self.DomainID(), m.self.ID)})
 	}
 	for _, x := range m.members {
 		if x.Status == Alive && !x.Leaving {
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -33,7 +33,7 @@
 
 // merge takes in news of a member of the data centre.
 func (m *Machine) merge(news Member) {
-	if news.DataCentre != m.self.DataCentre || news.ID == "" {
+	if news.DomainID() != m.self.DomainID() || news.ID == "" {
 		return
 	}
 	if news.ID == m.self.ID {
@@ -67,7 +67,7 @@
 
 // add starts to keep a member.
 func (m *Machine) add(news Member) {
-	x := &member{Member: news, rank: relayRank(news.DataCentre, news.ID)}
+	x := &member{Member: news, rank: relayRank(news.DomainID(), news.ID)}
 	m.members[news.ID] = x
 	m.order = append(m.order, news.ID)
 	// A random place in the round keeps all VMs from probing a new one at once.
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -28,6 +28,8 @@
 	Region      fleet.RegionID
 	Address     string
 	PeerAddress string
+	// Domain is the group that probes its members; empty means the data centre.
+	Domain fleet.DataCentreID
 	// Incarnation grows with each start of the VM and each refuted suspicion.
 	Incarnation uint64
 	Status      Status
@@ -41,6 +43,14 @@
 	Load []byte
 }
 
+// DomainID returns the group that probes its members.
+func (m Member) DomainID() fleet.DataCentreID {
+	if m.Domain != "" {
+		return m.Domain
+	}
+	return m.DataCentre
+}
+
 // Contact names a member of another data centre.
 type Contact struct {
 	ID          fleet.VMID
@@ -50,6 +60,7 @@
 
 // Summary is the fixed-size state of one data centre.
 type Summary struct {
+	// DataCentre is the domain, which is a data centre unless Config.Domain says otherwise.
 	DataCentre fleet.DataCentreID
 	Region     fleet.RegionID
 	// Version grows by one with each summary: a relay continues from the highest version it has heard.
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -130,7 +130,7 @@
 }
 
 func (m *Machine) receivePing(p *Ping) {
-	if p.From.DataCentre != m.self.DataCentre {
+	if p.From.DomainID() != m.self.DomainID() {
 		m.receiveForeignPing(p)
 		return
 	}
@@ -191,7 +191,7 @@
 		m.introduce(p.From)
 	}
 	a := &Ack{Sequence: p.Sequence, From: m.self}
-	r := m.remotes[p.From.DataCentre]
+	r := m.remotes[p.From.DomainID()]
 	switch {
 	case p.Join && m.long.take(m.now):
 		a.Summaries = m.allSummaries()
@@ -239,7 +239,7 @@
 }
 
 func (m *Machine) receiveAck(a *Ack) {
-	if a.From.DataCentre != m.self.DataCentre {
+	if a.From.DomainID() != m.self.DomainID() {
 		m.mergeSummaries(a.Summaries)
 		return
 	}
--- a/pkg/membership/relay.go
+++ b/pkg/membership/relay.go
@@ -20,7 +20,7 @@
 	}
 	m.round++
 	own := m.nextOwnSummary()
-	speaks := m.regionSpeaker(m.self.Region) == m.self.DataCentre
+	speaks := m.regionSpeaker(m.self.Region) == m.self.DomainID()
 	for _, r := range m.summaryTargets(speaks && position == 0) {
 		to, ok := m.relayOf(r, position)
 		if !ok {
@@ -59,7 +59,7 @@
 	for _, dc := range m.remoteOrder {
 		r := m.remotes[dc]
 		if r.Region == m.self.Region {
-			if dc == m.self.DataCentre {
+			if dc == m.self.DomainID() {
 				continue
 			}
 			targets = append(targets, r)
@@ -92,7 +92,7 @@
 		}
 	}
 	if region == m.self.Region {
-		consider(m.self.DataCentre, true)
+		consider(m.self.DomainID(), true)
 	}
 	for _, dc := range m.remoteOrder {
 		if r := m.remotes[dc]; r.Region == region {
@@ -108,7 +108,7 @@
 // ownSummary returns the next summary of the own data centre. Its version
 // continues the highest one heard, also from another relay.
 func (m *Machine) ownSummary() Summary {
-	s := Summary{DataCentre: m.self.DataCentre, Region: m.self.Region, Live: 1, Offset: m.self.Offset}
+	s := Summary{DataCentre: m.self.DomainID(), Region: m.self.Region, Live: 1, Offset: m.self.Offset}
 	if m.self.Leaving {
 		s.Leaving++
 	}
@@ -125,7 +125,7 @@
 	s.Relays = m.Relays()
 	s.Sample = m.sample(s.Relays)
 	s.Load = m.local.DataCentreLoad
-	if own := m.remotes[m.self.DataCentre]; own != nil {
+	if own := m.remotes[m.self.DomainID()]; own != nil {
 		s.Version = own.Version
 	}
 	return s
@@ -135,7 +135,7 @@
 // changed or the last version is old, whichever relay made it.
 func (m *Machine) nextOwnSummary() Summary {
 	own := m.ownSummary()
-	if last := m.remotes[m.self.DataCentre]; last != nil && m.now.Sub(last.heardAt) < SummaryRefresh {
+	if last := m.remotes[m.self.DomainID()]; last != nil && m.now.Sub(last.heardAt) < SummaryRefresh {
 		sameRelays := slices.Equal(last.Relays, own.Relays)
 		if sameRelays && last.Live == own.Live && last.Leaving == own.Leaving {
 			return m.aged(last)
@@ -166,7 +166,7 @@
 // regionSummaries returns up to n summaries of other data centres of the region, in turn.
 func (m *Machine) regionSummaries(n int) []Summary {
 	return m.summariesOf(n, func(r *remote) bool {
-		return r.Region == m.self.Region && r.DataCentre != m.self.DataCentre
+		return r.Region == m.self.Region && r.DataCentre != m.self.DomainID()
 	})
 }
 
@@ -174,7 +174,7 @@
 // but for that of the receiver.
 func (m *Machine) otherSummaries(n int, receiver fleet.DataCentreID) []Summary {
 	return m.summariesOf(n, func(r *remote) bool {
-		return r.DataCentre != m.self.DataCentre && r.DataCentre != receiver
+		return r.DataCentre != m.self.DomainID() && r.DataCentre != receiver
 	})
 }
 
@@ -234,7 +234,7 @@
 func (m *Machine) allSummaries() []Summary {
 	list := []Summary{m.ownSummary()}
 	for _, dc := range m.remoteOrder {
-		if dc != m.self.DataCentre {
+		if dc != m.self.DomainID() {
 			list = append(list, m.aged(m.remotes[dc]))
 		}
 	}
@@ -271,7 +271,7 @@
 	if s.DataCentre == "" {
 		return
 	}
-	if s.DataCentre == m.self.DataCentre {
+	if s.DataCentre == m.self.DomainID() {
 		m.useOwnContacts(s)
 	}
 	r := m.remotes[s.DataCentre]
@@ -305,11 +305,11 @@
 
 // introduce keeps a VM of a data centre that is not known otherwise as its contact.
 func (m *Machine) introduce(x Member) {
-	if m.remotes[x.DataCentre] != nil {
+	if m.remotes[x.DomainID()] != nil {
 		return
 	}
 	m.mergeSummary(Summary{
-		DataCentre: x.DataCentre, Region: x.Region, Live: 1, Offset: x.Offset,
+		DataCentre: x.DomainID(), Region: x.Region, Live: 1, Offset: x.Offset,
 		Relays: []Contact{x.contact()},
 	})
 }
@@ -321,7 +321,7 @@
 	if m.now.Sub(m.began) > startTime {
 		interval = max(SeedInterval, SeedIntervalPerVM*time.Duration(m.fleetCount()))
 	}
-	if own := m.remotes[m.self.DataCentre]; len(m.members) == 0 || own != nil && own.Live > 2*m.liveCount() {
+	if own := m.remotes[m.self.DomainID()]; len(m.members) == 0 || own != nil && own.Live > 2*m.liveCount() {
 		interval = JoinInterval // alone, or in a small group apart from the data centre's others
 	}
 	m.nextSeed = m.now.Add(interval/2 + m.jitter(interval))
@@ -345,7 +345,7 @@
 func (m *Machine) fleetCount() uint32 {
 	n := m.liveCount()
 	for dc, r := range m.remotes {
-		if dc != m.self.DataCentre {
+		if dc != m.self.DomainID() {
 			n += r.Live
 		}
 	}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -41,7 +41,7 @@
 	for _, dc := range m.remoteOrder {
 		r := m.remotes[dc]
 		d := DataCentre{Summary: r.Summary, Age: m.now.Sub(r.heardAt)}
-		if dc == m.self.DataCentre {
+		if dc == m.self.DomainID() {
 			d.Summary = m.ownSummary()
 			d.Age = 0
 		}
