--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -39,7 +39,12 @@
 	PauseLimit = 1500 * time.Millisecond
 
 	// SummaryInterval is the time between two rounds of a relay.
-	SummaryInterval = 2 * time.Second
+	SummaryInterval = 3 * time.Second
+	// SummaryRefresh is the age at which a data centre's summary gets a new version
+	// without a change of its members. With a new version each second the 18 data
+	// centres' versions were more than gossip can carry: at 3,200 nodes some
+	// summaries were 59 s old. Now each version reaches nearly all members.
+	SummaryRefresh = 8 * time.Second
 	// SummaryStale is the age after which a data centre counts as out of reach.
 	SummaryStale = 60 * time.Second
 	// RelayStale is the age after which a data centre's relay is not relied on to
@@ -67,7 +72,7 @@
 	// are filled with other members in turn, so that the size hardly varies. With
 	// 2 summaries some of 800 nodes heard nothing new of one of 18 data centres
 	// for 56 s, too close to SummaryStale.
-	MaxMembers   = 5
+	MaxMembers   = 4
 	MaxSummaries = 3
 	// MaxJoinMembers bounds the members in the answer to a join. joinAnswers and
 	// shortAnswers are the numbers of long and of short answers to joins in a
@@ -103,6 +108,11 @@
 	// where possible, such as the start time in milliseconds. The machine
 	// corrects it when a peer remembers a higher one.
 	Incarnation uint64
+	// Domain widens the group whose members probe each other beyond the data
+	// centre, for fleets of few VMs: a data centre of one VM would else notice the
+	// death of another only after SummaryStale. All VMs of the group must name the
+	// same domain. Empty means the data centre.
+	Domain fleet.DataCentreID
 	// Seeds are peer addresses to join through, in any data centre.
 	Seeds []string
 }
@@ -214,7 +224,7 @@
 		rand:   random,
 		self: Member{
 			ID: v.ID, DataCentre: v.DataCentre, Region: v.Region,
-			Address: v.Address, PeerAddress: v.PeerAddress,
+			Address: v.Address, PeerAddress: v.PeerAddress, Domain: config.Domain,
 			Incarnation: config.Incarnation,
 		},
 		members: make(map[fleet.VMID]*member),
@@ -369,7 +379,7 @@
 		all = all[:min(len(all), RelayCount)]
 	}
 	if !m.self.Leaving {
-		consider(candidate{m.self.contact(), relayRank(m.self.DataCentre, m.self.ID)})
+		consider(candidate{m.self.contact(), relayRank(m.self.DomainID(), m.self.ID)})
 	}
 	for _, x := range m.members {
 		if x.Status == Alive && !x.Leaving {
