Share slots by demand, eject unreachable stages at once, end calls with the runner

Cause: each VM took an even share of the slots, counted for one stage only, so chains of n stages ran at 1/n of the bound; a stage that did not answer a probe was probed again before its ejection; Runner.Run returned while a read was under way, which made the replica's tests fail now and then ("blocked goroutines remain"). Change: admission.Shares fed by the members' payload; a model's capacity counts the part of the time that a generation uses a stage; Observation.Unreachable ejects; Run waits for its calls to the log.

--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -106,7 +106,7 @@
 func (d *Deployment) defineVMs(next func() string) {
 	for i, dc := range vmDataCentres {
 		d.VMs = append(d.VMs, config.Config{
-			VM: fleet.VMID(fmt.Sprintf("vm-%d", i+1)), Region: region, DataCentre: dc,
+			VM: fleet.VMID(fmt.Sprintf("vm-%d", i+1)), Region: region, DataCentre: dc, Domain: "today",
 			Address: next(), PeerAddress: next(), FleetSecret: fleetSecret,
 			LogURL: "http://" + d.Standins.Log.Listen, WeightStoreURL: "http://" + d.Standins.WeightStore.Listen,
 			VMListURL: "http://" + d.Standins.VMList.Listen, OperatorKeyHash: Hash(OperatorKey),
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -26,6 +26,9 @@
 	VM         fleet.VMID         `json:"vm"`
 	Region     fleet.RegionID     `json:"region"`
 	DataCentre fleet.DataCentreID `json:"data_centre"`
+	// Domain is the group of VMs that probe each other; empty means those of the
+	// data centre. A fleet with one or two VMs a data centre sets one for all.
+	Domain fleet.DataCentreID `json:"domain,omitempty"`
 	// Address is where callers and operators connect, as IP:port.
 	Address string `json:"address"`
 	// PeerAddress is where other entry VMs connect, as IP:port.
@@ -82,6 +85,14 @@
 	return fleet.VM{ID: c.VM, Region: c.Region, DataCentre: c.DataCentre, Address: c.Address, PeerAddress: c.PeerAddress}
 }
 
+// DomainID returns the group of VMs that probe each other.
+func (c Config) DomainID() fleet.DataCentreID {
+	if c.Domain != "" {
+		return c.Domain
+	}
+	return c.DataCentre
+}
+
 func (c Config) check() error {
 	if err := c.checkNames(); err != nil {
 		return err
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -88,6 +89,9 @@
 	placer     *placer
 	actions    []outlier.Action
 	dirty      bool
+	shares     *admission.Shares
+	// heard is the version of each member whose demand the shares hold.
+	heard map[fleet.VMID]uint64
 	// told is the highest settings offset that the replica was told of.
 	told uint64
 	done chan struct{}
@@ -100,9 +104,11 @@
 		conditions: map[fleet.UpstreamID]*condition{},
 		detector:   outlier.New(outlier.DefaultConfig()),
 		done:       make(chan struct{}),
+		shares:     admission.NewShares(s.cfg.VM),
+		heard:      map[fleet.VMID]uint64{},
 	}
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), hashOf(string(s.cfg.VM))))
-	c.members = membership.New(membership.Config{Self: s.self, Incarnation: uint64(now.UnixMilli()), Seeds: s.cfg.Seeds}, now, random)
+	c.members = membership.New(membership.Config{Self: s.self, Domain: s.cfg.Domain, Incarnation: uint64(now.UnixMilli()), Seeds: s.cfg.Seeds}, now, random)
 	c.publish(now)
 	c.placer = newPlacer(ctx, c, now)
 	return c
@@ -143,14 +149,14 @@
 	c.publish(now)
 	c.server.gate.tick()
 	c.server.suspects.tick(c.vmIDs())
-	c.setCapacities()
+	c.setCapacities(now)
 }
 
 // shareOffset tells the members which settings are in force here, and the
 // replica of the highest offset that any member has in force.
 func (c *control) shareOffset() {
 	view := c.server.settings.View()
-	c.members.SetLocal(membership.Local{Offset: view.Offset})
+	c.members.SetLocal(membership.Local{Offset: view.Offset, Load: encodeDemand(c.server.gate.demand())})
 	highest := c.members.View().Highest
 	if highest <= view.Highest || c.told >= highest {
 		return
@@ -256,9 +262,9 @@
 	}
 }
 
-// suspected books that a stage is blamed for a broken generation. Beside the
-// failure it is probed, so that a dead engine takes no new work within a second.
-func (c *control) suspected(id fleet.UpstreamID, cause error) {
+// suspected books that a stage is blamed for a broken generation. One that did not
+// answer a probe is ejected at once; any other is probed again before.
+func (c *control) suspected(id fleet.UpstreamID, cause error, unreachable bool) {
 	c.post(func(now time.Time) {
 		condition, ok := c.conditions[id]
 		if !ok {
@@ -266,10 +272,15 @@
 		}
 		c.server.suspects.crashed(quarantine.CrashID{Upstream: id, Incarnation: condition.state.Incarnation})
 		out := c.actions[:0]
-		if classify(cause) != silent {
-			out = c.detector.Failed(now, id, out)
+		switch {
+		case unreachable:
+			out = c.detector.Refused(now, id, out)
+		case classify(cause) == silent:
+			out = c.detector.Silent(now, id, out)
+		default:
+			out = c.detector.Silent(now, id, c.detector.Failed(now, id, out))
 		}
-		c.act(c.detector.Silent(now, id, out))
+		c.act(out)
 		c.publish(now)
 	})
 }
@@ -337,7 +348,7 @@
 	view := c.members.View()
 	n := len(view.Members)
 	for _, dc := range view.DataCentres {
-		if dc.DataCentre != c.server.cfg.DataCentre {
+		if dc.DataCentre != c.server.cfg.DomainID() {
 			n += int(dc.Live)
 		}
 	}
@@ -352,7 +363,7 @@
 		ids = append(ids, m.ID)
 	}
 	for _, dc := range view.DataCentres {
-		if dc.DataCentre == c.server.cfg.DataCentre {
+		if dc.DataCentre == c.server.cfg.DomainID() {
 			continue
 		}
 		for _, contact := range dc.Relays {
@@ -478,28 +489,47 @@
 	return list
 }
 
-// setCapacities tells admission this VM's share of each model's slots: those of
-// the layer range with the fewest, shared evenly by the live VMs.
-func (c *control) setCapacities() {
-	vms := c.otherVMs() + 1
+// setCapacities tells admission this VM's share of each model's pipelines.
+func (c *control) setCapacities(now time.Time) {
+	fraction := c.share(now)
 	d := c.server.directory()
 	for _, id := range d.models {
 		view, _ := d.model(id)
-		share := (c.modelSlots(id, int(view.Model.Layers)) + vms - 1) / vms
-		c.server.gate.setCapacity(admission.Capacity{Model: id, Slots: share})
+		slots := c.modelSlots(id, int(view.Model.Layers))
+		c.server.gate.setCapacity(admission.Capacity{Model: id, Slots: int(math.Ceil(slots * fraction))})
+	}
+}
+
+// share returns this VM's part of the slots by the demands that the VMs of its
+// domain tell each other; VMs of other domains count evenly.
+func (c *control) share(now time.Time) float64 {
+	view := c.members.View()
+	live := []fleet.VMID{c.server.cfg.VM}
+	c.shares.Heard(now, c.server.cfg.VM, c.server.gate.demand())
+	for _, m := range view.Members {
+		live = append(live, m.ID)
+		if m.Version != c.heard[m.ID] {
+			c.heard[m.ID] = m.Version
+			c.shares.Heard(now, m.ID, decodeDemand(m.Load))
+		}
 	}
+	c.shares.Forget(live)
+	domain := float64(len(live)) / float64(c.otherVMs()+1)
+	return domain * c.shares.Fraction(now, live)
 }
 
-// modelSlots returns the batch slots of the layer that fewest usable engines hold.
-func (c *control) modelSlots(id fleet.ModelID, layers int) int {
-	perLayer := make([]int, layers)
+// modelSlots returns how many generations keep the layer that fewest usable
+// engines hold busy. A generation uses a stage for a part of the time only, so an
+// engine that holds a quarter of the layers needs four for each batch slot.
+func (c *control) modelSlots(id fleet.ModelID, layers int) float64 {
+	perLayer := make([]float64, layers)
 	for _, condition := range c.conditions {
 		a := condition.state.Assignment
 		if !condition.usable() || a.Model != id || a.Layers.End > layers || c.detector.Ejected(condition.id) {
 			continue
 		}
 		for l := a.Layers.First; l < a.Layers.End; l++ {
-			perLayer[l] += condition.slots()
+			perLayer[l] += float64(condition.slots()) * float64(layers) / float64(a.Layers.Len())
 		}
 	}
 	if layers == 0 {
--- a/pkg/entry/drain.go
+++ b/pkg/entry/drain.go
@@ -163,7 +163,7 @@
 		}
 	}
 	for _, dc := range members.DataCentres {
-		if dc.DataCentre == s.cfg.DataCentre || !dc.Reachable {
+		if dc.DataCentre == s.cfg.DomainID() || !dc.Reachable {
 			continue
 		}
 		for _, c := range append(dc.Relays, dc.Sample...) {
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	queue   *admission.Queue
 	waiting map[fleet.RequestID]chan admission.Action
 	actions []admission.Action
+	// running counts the admitted requests that have not ended.
+	running int
 }
 
 func newGate(cfg admission.Config) *gate {
@@ -35,7 +38,7 @@
 	case action := <-decided:
 		return action.Waited, refusal(action)
 	case <-ctx.Done():
-		g.cancel(req.ID)
+		g.leave(req.ID, decided)
 		return 0, result.New(result.CancelledByCaller, result.NotRun, "the caller left while the request was queued")
 	}
 }
@@ -43,6 +46,7 @@
 // finish books the end of an admitted request with its actual cost.
 func (g *gate) finish(id fleet.RequestID, cost float64) {
 	g.step(func(now time.Time, out []admission.Action) []admission.Action {
+		g.running--
 		return g.queue.Finish(now, id, cost, out)
 	})
 }
@@ -54,9 +58,12 @@
 	g.queue.Correct(id, cost)
 }
 
-// cancel removes a request, queued or started meanwhile.
-func (g *gate) cancel(id fleet.RequestID) {
+// leave removes a request whose caller has gone: queued, started or refused meanwhile.
+func (g *gate) leave(id fleet.RequestID, decided <-chan admission.Action) {
 	g.step(func(now time.Time, out []admission.Action) []admission.Action {
+		if _, queued := g.waiting[id]; !queued && (<-decided).Kind == admission.Start {
+			g.running--
+		}
 		delete(g.waiting, id)
 		return g.queue.Cancel(now, id, out)
 	})
@@ -92,6 +99,17 @@
 	return n
 }
 
+// demand returns the requests in flight and queued here.
+func (g *gate) demand() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := g.running
+	for r := range fleet.RankCount {
+		n += g.queue.Queued(fleet.Rank(r))
+	}
+	return float64(n)
+}
+
 // step runs one event of the queue and delivers the actions that follow.
 func (g *gate) step(event func(time.Time, []admission.Action) []admission.Action) {
 	g.mu.Lock()
@@ -100,6 +118,9 @@
 	for _, action := range g.actions {
 		if decided, ok := g.waiting[action.Request]; ok {
 			delete(g.waiting, action.Request)
+			if action.Kind == admission.Start {
+				g.running++
+			}
 			decided <- action // buffered: one action decides a request
 		}
 	}
@@ -124,3 +145,16 @@
 	}
 	return "the request cannot be done before its deadline"
 }
+
+// encodeDemand returns a demand as the payload that members exchange.
+func encodeDemand(demand float64) []byte {
+	return binary.BigEndian.AppendUint32(nil, uint32(demand))
+}
+
+// decodeDemand parses a member's payload; one that is too short counts as none.
+func decodeDemand(payload []byte) float64 {
+	if len(payload) < 4 {
+		return 0
+	}
+	return float64(binary.BigEndian.Uint32(payload))
+}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -101,7 +101,7 @@
 		addresses[m.ID] = m.PeerAddress
 	}
 	for _, dc := range view.DataCentres {
-		if dc.DataCentre == s.cfg.DataCentre {
+		if dc.DataCentre == s.cfg.DomainID() {
 			continue
 		}
 		for _, c := range append(dc.Relays, dc.Sample...) {
--- a/pkg/entry/planner.go
+++ b/pkg/entry/planner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -147,7 +148,7 @@
 func (p *chainPlanner) attemptFailed(o pipeline.Observation) {
 	p.failedAt = o.Accepted
 	for _, id := range o.Suspects {
-		p.server.control.suspected(id, o.Err)
+		p.server.control.suspected(id, o.Err, slices.Contains(o.Unreachable, id))
 	}
 	reason := retryReason(o.Err)
 	p.server.stats.Retried("stage_" + reason)
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -51,7 +51,7 @@
 	}
 	for _, dc := range view.members.DataCentres {
 		for _, c := range append(dc.Relays, dc.Sample...) {
-			if dc.DataCentre != s.cfg.DataCentre {
+			if dc.DataCentre != s.cfg.DomainID() {
 				body.Members = append(body.Members, vmAddress{c.ID, c.Address, dc.DataCentre})
 			}
 		}
--- a/pkg/replica/runner.go
+++ b/pkg/replica/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,7 +67,9 @@
 	onLease  atomic.Pointer[func(LeasesAction)]
 	history  []Change
 	stopped  chan struct{}
-	downAt   time.Time
+	// calls are those to the log; Run returns after they have.
+	calls  sync.WaitGroup
+	downAt time.Time
 }
 
 // outcome answers a proposal.
@@ -119,6 +122,7 @@
 
 // Run drives the replica until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
+	defer r.calls.Wait()
 	defer close(r.stopped)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -171,9 +175,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case AppendAction:
-			go r.append(ctx, a)
+			r.calls.Go(func() { r.append(ctx, a) })
 		case ReadAction:
-			go r.read(ctx, a)
+			r.calls.Go(func() { r.read(ctx, a) })
 		case DecidedAction:
 			r.answer(a.Verdict.ID, outcome{decided: true, verdict: a.Verdict, sent: true})
 		case UndecidedAction:
