Hand applied records to a relay and keep the last ones for peers

Cause: settings reach the VMs that don't read the log through others. Change: Runner.OnRecord and Runner.RecordsFrom; benchmarks of a change and of a lookup at the two-year scale of 12,801 branches.

--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -87,6 +87,10 @@
 	Sent bool
 }
 
+// AppliedAction says that a record was applied, whether it is valid or void. It
+// comes before the actions that tell what the record decided.
+type AppliedAction struct{ Record platform.Record }
+
 // SettingsAction says that a settings record was read; Tree is the tree in force after it.
 type SettingsAction struct {
 	Tree    *settings.Tree
@@ -128,6 +132,7 @@
 func (ReadAction) action()      {}
 func (DecidedAction) action()   {}
 func (UndecidedAction) action() {}
+func (AppliedAction) action()   {}
 func (SettingsAction) action()  {}
 func (LeasesAction) action()    {}
 func (StateAction) action()     {}
@@ -528,6 +533,7 @@
 func (r *Replica) applyRecord(lr platform.Record, now time.Time) {
 	rec, v := r.state.apply(lr.Data, lr.Offset, lr.AppendedAt)
 	r.chains[lr.Offset%chainMemory] = r.state.chain
+	r.emit(AppliedAction{Record: lr})
 	switch rec.Kind {
 	case record.KindSettings:
 		r.emit(SettingsAction{Tree: r.state.Tree, Change: *rec.Settings, Verdict: v, At: lr.AppendedAt})
--- a/pkg/replica/runner.go
+++ b/pkg/replica/runner.go
@@ -52,6 +52,8 @@
 	PendingLimit time.Duration
 	// HolderGone reports that a VM is known to have ended; nil knows of none.
 	HolderGone func(fleet.VMID) bool
+	// KeepRecords is the number of last records kept for RecordsFrom, 0 for none.
+	KeepRecords int
 }
 
 // Runner drives a Replica over the platform's log. Its own goroutine owns the
@@ -64,6 +66,8 @@
 	waiters  map[record.ID]chan outcome
 	onChange atomic.Pointer[func(*View)]
 	onLease  atomic.Pointer[func(LeasesAction)]
+	onRecord atomic.Pointer[func(platform.Record)]
+	kept     []platform.Record
 	history  []Change
 	stopped  chan struct{}
 	downAt   time.Time
@@ -117,6 +121,11 @@
 // valid lease record. It must not call the runner's blocking methods.
 func (r *Runner) OnLease(f func(LeasesAction)) { r.onLease.Store(&f) }
 
+// OnRecord sets a function that is called, from the runner's goroutine, for each
+// record applied here, in offset order. It must not call the runner's blocking
+// methods. A relay to other VMs starts here.
+func (r *Runner) OnRecord(f func(platform.Record)) { r.onRecord.Store(&f) }
+
 // Run drives the replica until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	defer close(r.stopped)
@@ -178,6 +187,8 @@
 			r.answer(a.Verdict.ID, outcome{decided: true, verdict: a.Verdict, sent: true})
 		case UndecidedAction:
 			r.answer(a.ID, outcome{sent: a.Sent})
+		case AppliedAction:
+			r.keep(a.Record)
 		default:
 			r.tell(a)
 			changed = true
@@ -210,6 +221,33 @@
 	}
 }
 
+// keep remembers a record for RecordsFrom and passes it on.
+func (r *Runner) keep(lr platform.Record) {
+	if r.cfg.KeepRecords > 0 {
+		r.kept = append(r.kept, lr)
+		r.kept = r.kept[max(0, len(r.kept)-r.cfg.KeepRecords):]
+	}
+	if f := r.onRecord.Load(); f != nil {
+		(*f)(lr)
+	}
+}
+
+// RecordsFrom returns the kept records from an offset on, for a peer that missed
+// them. It returns none when an older record than the kept ones is asked for; the
+// peer then needs a snapshot.
+func (r *Runner) RecordsFrom(ctx context.Context, offset uint64) (records []platform.Record) {
+	r.do(ctx, func(time.Time) []Action {
+		for i, lr := range r.kept {
+			if lr.Offset == offset {
+				records = append(records, r.kept[i:]...)
+				break
+			}
+		}
+		return nil
+	})
+	return records
+}
+
 func (r *Runner) tellLog(a LogAction) {
 	if !a.Available {
 		r.downAt = time.Now()
--- a/pkg/replica/runner_test.go
+++ b/pkg/replica/runner_test.go
@@ -175,3 +175,30 @@
 		is.Equal(codeOf(err), result.KeyReused)
 	})
 }
+
+// TestRelay guards against a VM cut off from the log that doesn't take over the
+// records which a peer relays, or applies them with a gap.
+func TestRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := started(t)
+		defer stop()
+		l := &fakeLog{latency: time.Millisecond}
+		reader := run(ctx, l, replica.RunnerConfig{KeepRecords: 2})
+		cut := run(ctx, &fakeLog{down: true}, replica.RunnerConfig{})
+		var relayed []platform.Record
+		reader.OnRecord(func(lr platform.Record) { relayed = append(relayed, lr) })
+		for _, branch := range []string{"team/a", "team/b", "team/c"} {
+			_, err := reader.ProposeSettings(ctx, record.Settings{Branch: branch, Value: []byte(`{}`)})
+			is.NoErr(err)
+		}
+		cut.Records(ctx, relayed[:1])
+		cut.Records(ctx, relayed[2:])
+		is.Equal(cut.View().Offset, uint64(1))
+		is.Equal(cut.View().Highest, uint64(3))
+		is.Equal(len(reader.RecordsFrom(ctx, 1)), 0) // no longer kept
+		cut.Records(ctx, reader.RecordsFrom(ctx, 2))
+		is.Equal(cut.View().Tree.Version("team/c"), uint64(3))
+		is.True(!cut.View().Ready)
+	})
+}
--- a/pkg/settings/tree_test.go
+++ b/pkg/settings/tree_test.go
@@ -256,3 +256,41 @@
 		}
 	})
 }
+
+// largeTree returns a tree of the two-year scale: 2,800 teams and 10,000 upstreams.
+func largeTree(b *testing.B) *Tree {
+	saved := []Saved{{Branch: "fleet/region/r/dc/d", Version: 1, Value: []byte(`{}`)}}
+	for i := range 10_000 {
+		value := fmt.Sprintf(`{"address":"127.0.0.1:%d","kind":"engine","data_centre":"d","memory_bytes":80000000000}`, i+1)
+		saved = append(saved, Saved{Branch: fmt.Sprintf("upstream/u%d", i), Version: uint64(i + 2), Value: []byte(value)})
+	}
+	for i := range 2_800 {
+		value := fmt.Sprintf(`{"key_hashes":["%064x"],"weight":2}`, i)
+		saved = append(saved, Saved{Branch: fmt.Sprintf("team/t%d", i), Version: uint64(i + 20_000), Value: []byte(value)})
+	}
+	t, err := Restore(saved)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return t
+}
+
+// BenchmarkApply measures one change of a team's weight at the two-year scale.
+func BenchmarkApply(b *testing.B) {
+	t := largeTree(b)
+	change := record.Settings{Branch: "team/t7", Base: t.Version("team/t7"), Value: []byte(fmt.Sprintf(`{"key_hashes":["%064x"],"weight":3}`, 7))}
+	for b.Loop() {
+		if _, err := t.Apply(change, 50_000); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkEffective measures the lookup of a request's view.
+func BenchmarkEffective(b *testing.B) {
+	t := largeTree(b)
+	s := Scope{DataCentre: "d", Team: "t7", Rank: "urgent"}
+	for b.Loop() {
+		t.Effective(s)
+	}
+}
