admission: make the recovery test fail without refusals

Change: both teams must start at once 5 s after the flood. Result: with the three removed the test fails; with them it passes.

--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -253,13 +253,16 @@
 	is.Equal(len(p.late), 0)
 }
 
-// TestRecoveryAfterFlood guards against a queue that keeps refusing after a flood.
+// TestRecoveryAfterFlood guards against a queue that after a flood keeps
+// refusing, or works off requests that nobody waits for any more. 5 s after its
+// end also the team that flooded starts at once.
 func TestRecoveryAfterFlood(t *testing.T) {
 	is := is.New(t)
 	p := newPipe(admission.DefaultConfig(), 20)
+	var after []fleet.RequestID
 	steady := func(step int) {
-		if step%10 == 0 {
-			p.arrive("t", fleet.Urgent, 20, 0) // half of the capacity
+		if step%20 == 0 { // half of the capacity
+			after = append(after, p.arrive("t", fleet.Urgent, 20, 0), p.arrive("flood", fleet.Urgent, 20, 0))
 		}
 	}
 	p.run(60*time.Second, func(step int) {
@@ -269,13 +272,9 @@
 		steady(step)
 	})
 	p.run(5*time.Second, steady)
-	var after []fleet.RequestID
-	p.run(60*time.Second, func(step int) {
-		if step%10 == 0 {
-			after = append(after, p.arrive("t", fleet.Urgent, 20, 0))
-		}
-	})
-	for _, id := range after[:len(after)-1] {
+	after = after[:0]
+	p.run(60*time.Second, steady)
+	for _, id := range after {
 		is.True(p.started(id, 0))
 	}
 }
