placement: reports that lag, tests that fail without the mechanism

Cause: with reports 500 ms late in the simulation an engine that had just finished its load was taken although it held the last copy of its layers.

--- a/pkg/placement/adversarial_test.go
+++ b/pkg/placement/adversarial_test.go
@@ -78,6 +78,16 @@
 	}
 }
 
+// TestLinksAreCrossedSeldom guards against chains that change data centre at
+// each stage, on hardware where no data centre holds a chain alone.
+func TestLinksAreCrossedSeldom(t *testing.T) {
+	for seed, n := range map[uint64]int{115: 20, 138: 40} {
+		if r := NewPlanner().Plan(randomInput(seed, n)).Ratio(); r < 0.9 {
+			t.Errorf("seed %d: %.3f of the flow bound", seed, r)
+		}
+	}
+}
+
 // TestBoundsHold guards against a bound below a throughput that a plan
 // reaches, and against a flow that differs between layers one by one and the
 // layers of a model as one node.
--- a/pkg/placement/engineview.go
+++ b/pkg/placement/engineview.go
@@ -66,6 +66,12 @@
 		v.intended.Role == upstream.RoleServe && equal(v.state.Assignment, v.intended)
 }
 
+// almostServes reports whether the engine loads what it was told. Since reports
+// lag, it may serve by now.
+func (v *engineView) almostServes() bool {
+	return v.healthy() && v.state.Loading && equal(v.state.Assignment, v.intended)
+}
+
 // notServing reports whether the engine certainly does not serve what it was told:
 // a report from after the last order says so.
 func (v *engineView) notServing(lag time.Duration) bool {
--- a/pkg/placement/loads.go
+++ b/pkg/placement/loads.go
@@ -74,7 +74,7 @@
 		if !o.mayTake(c.id, v, 0) {
 			continue
 		}
-		if rest, _ := o.serving(o.models[v.intended.Model], c.id); rest > most {
+		if rest, _ := o.serving(o.models[v.intended.Model], c.id, false); rest > most {
 			best, most = c.id, rest
 		}
 	}
@@ -85,7 +85,7 @@
 	for _, c := range choices {
 		v := o.engines[c.id]
 		m, ok := o.models[v.intended.Model]
-		if total, _ := o.serving(m, ""); !ok || total <= 0 {
+		if total, _ := o.serving(m, "", false); !ok || total <= 0 {
 			o.load(now, c.id, v)
 			return
 		}
@@ -233,11 +233,14 @@
 	if !ok || v.intended.Role != upstream.RoleServe || sameWeights(v.intended, v.wanted) {
 		return true
 	}
-	if !v.serves(o.config.ReportLag) {
+	if !v.serves(o.config.ReportLag) && !v.almostServes() {
 		return v.notServing(o.config.ReportLag)
 	}
-	total, wanted := o.serving(m, "")
-	rest, restWanted := o.serving(m, id)
+	total, wanted := o.serving(m, "", true)
+	rest, restWanted := o.serving(m, id, false)
+	if total <= 0 {
+		return true
+	}
 	if rest <= 0 || (wanted > 0 && restWanted <= 0) {
 		return false
 	}
@@ -246,7 +249,8 @@
 
 // serving returns the throughput of the engines other than without that
 // certainly serve a model: summed over its versions, and of the wanted one.
-func (o *Owner) serving(m Model, without fleet.UpstreamID) (total, wanted float64) {
+// With soon set, engines that may serve by now count too.
+func (o *Owner) serving(m Model, without fleet.UpstreamID, soon bool) (total, wanted float64) {
 	type version struct {
 		in   Input
 		held []upstream.Assignment
@@ -254,7 +258,7 @@
 	versions := map[string]*version{}
 	for _, id := range o.order {
 		v := o.engines[id]
-		if id == without || v.intended.Model != m.ID || !v.serves(o.config.ReportLag) {
+		if id == without || v.intended.Model != m.ID || !(v.serves(o.config.ReportLag) || soon && v.almostServes()) {
 			continue
 		}
 		x := versions[v.intended.Version]
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -251,7 +251,7 @@
 	o.planned = true
 	o.base = map[fleet.ModelID]float64{}
 	for _, m := range o.input.Models {
-		o.base[m.ID], _ = o.serving(m, "")
+		o.base[m.ID], _ = o.serving(m, "", false)
 	}
 	o.blocked = false
 	o.counters.Plans++
--- a/pkg/placement/owner_test.go
+++ b/pkg/placement/owner_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -52,14 +53,21 @@
 				}
 			}
 			at, after, least := s.now, s.served(), s.served()
-			s.run(4*time.Second, nil)
-			if !s.run(time.Hour, func() bool { least = min(least, s.served()); return s.settled() }) {
+			var served []float64
+			s.run(4*time.Second, func() bool { served = append(served, s.served()); return false })
+			if !s.run(time.Hour, func() bool { served = append(served, s.served()); return s.settled() }) {
 				t.Fatal("not settled after the loss")
 			}
-			took, dictated := s.now.Sub(at).Seconds(), (s.ordered-from)/s.rate
-			t.Logf("lost %d engines: served %.0f, after the loss %.0f, lowest %.0f, at last %.0f; loaded %.1f GiB; took %.1f s, store dictates %.1f s: %.3f; in force %.3f of bound",
-				count, before, after, least, s.served(), (s.ordered-from)/gib, took, dictated, took/dictated, s.vms[s.owner()].owner.plan.Ratio())
-			if dictated > 0 && took > 1.2*dictated {
+			back := len(served) // steps until the capacity is back for good
+			for back > 0 && served[back-1] >= 0.99*s.served() {
+				back--
+			}
+			least = min(least, slices.Min(served))
+			took, whole := float64(back)*simStep.Seconds(), s.now.Sub(at).Seconds()
+			dictated := (s.ordered - from) / s.rate
+			t.Logf("lost %d engines: served %.0f, after the loss %.0f, lowest %.0f, at last %.0f; loaded %.1f GiB, store dictates %.1f s; capacity back after %.1f s, all loaded after %.1f s; in force %.3f of bound",
+				count, before, after, least, s.served(), (s.ordered-from)/gib, dictated, took, whole, s.vms[s.owner()].owner.plan.Ratio())
+			if took > 1.2*dictated {
 				t.Errorf("took %.1f s, more than 1.2 times %.1f s", took, dictated)
 			}
 			if len(s.takenDown) > 0 {
@@ -119,20 +127,68 @@
 	}
 }
 
-// TestVersionChangeKeepsServing guards against taking down the last holder of
-// a range: the old version serves until the new one is complete.
+// TestVersionChangeKeepsServing guards against taking down the old version
+// before the new one is complete, also where the store lets all loads begin at once.
 func TestVersionChangeKeepsServing(t *testing.T) {
+	for _, rate := range []float64{1e9, 1e12} {
+		is := is.New(t)
+		s := newSim(small(), 1, rate)
+		is.True(s.run(time.Minute, s.settled))
+		s.change(func(in *Input) { in.Models[0].Version = "2" })
+		lowest := s.served()
+		is.True(s.run(time.Minute, func() bool {
+			lowest = min(lowest, s.served())
+			return s.settled() && s.vms[0].owner.plan.Wanted["a"].Version == "2"
+		}))
+		is.Equal(len(s.takenDown), 0)
+		is.True(lowest > 0)
+	}
+}
+
+// TestLastHolderStays guards against taking an engine off a range that no other holds.
+func TestLastHolderStays(t *testing.T) {
 	is := is.New(t)
-	s := newSim(small(), 1, 1e9)
+	in := small()
+	in.Engines = in.Engines[:2]
+	s := newSim(in, 1, 1e9)
 	is.True(s.run(time.Minute, s.settled))
 	s.change(func(in *Input) { in.Models[0].Version = "2" })
-	lowest := s.served()
-	is.True(s.run(time.Minute, func() bool {
-		lowest = min(lowest, s.served())
-		return s.settled() && s.vms[0].owner.plan.Wanted["a"].Version == "2"
-	}))
+	s.run(2*time.Minute, nil)
 	is.Equal(len(s.takenDown), 0)
-	is.True(lowest > 0)
+	is.True(s.served() > 0)
+	is.True(s.vms[0].owner.blocked)
+}
+
+// TestTakeoverRaisesTheFence guards against late orders of a former owner to
+// engines that the new owner has no reason to change.
+func TestTakeoverRaisesTheFence(t *testing.T) {
+	is := is.New(t)
+	s := newSim(small(), 2, 1e9)
+	is.True(s.run(time.Minute, s.settled))
+	s.vms[0].paused = true
+	former := s.vms[0].owner.Epoch()
+	is.True(s.run(time.Minute, func() bool { return s.owner() == 1 }))
+	is.True(s.run(10*time.Second, nil))
+	for _, e := range s.engines {
+		is.True(e.epoch > former)
+		is.Equal(e.loads, 1) // the same assignment again loads nothing
+	}
+}
+
+// TestNoOrderWithoutLease guards against orders after the lease has ended by
+// the holder's own clock, while the log does not answer.
+func TestNoOrderWithoutLease(t *testing.T) {
+	is := is.New(t)
+	s := newSim(small(), 1, 1e9)
+	is.True(s.run(time.Minute, s.settled))
+	s.logDown = true
+	s.run(10*time.Second, nil)
+	orders := s.vms[0].owner.Counters().Orders
+	s.change(func(in *Input) { in.Models[0].Version = "2" })
+	s.run(time.Minute, nil)
+	is.Equal(s.vms[0].owner.Counters().Orders, orders)
+	s.logDown = false
+	is.True(s.run(time.Minute, func() bool { return s.settled() && s.engines["a"].held.Version == "2" }))
 }
 
 // TestFlappingEngine guards against loads each time that an engine goes away
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -49,33 +49,23 @@
 	}
 }
 
-// TestLossOfOneEngineLeavesAChain guards against plans that depend on one engine.
+// TestLossOfOneEngineLeavesAChain guards against plans that depend on one
+// engine, on hardware whose fastest plan does.
 func TestLossOfOneEngineLeavesAChain(t *testing.T) {
-	is := is.New(t)
-	in := today(40, 1)
-	plan := NewPlanner().Plan(in)
-	for _, lost := range in.Engines {
-		var left []upstream.Assignment
-		for id, a := range plan.Wanted {
-			if id != lost.ID {
-				left = append(left, a)
-			}
-		}
-		is.True(complete(left, "m", "1", 80))
-	}
-}
-
-// complete reports whether assignments hold a chain through all layers.
-func complete(held []upstream.Assignment, model fleet.ModelID, version string, layers int) bool {
-	reach := map[int]bool{0: true}
-	for range held {
-		for _, a := range held {
-			if a.Role == upstream.RoleServe && a.Model == model && a.Version == version && reach[a.Layers.First] {
-				reach[a.Layers.End] = true
+	for _, in := range []Input{today(40, 1), randomInput(2, 20), randomInput(39, 20), randomInput(58, 20)} {
+		is := is.New(t)
+		plan := NewPlanner().Plan(in)
+		is.True(plan.Spare["m"])
+		for _, lost := range in.Engines {
+			var left []upstream.Assignment
+			for id, a := range plan.Wanted {
+				if id != lost.ID {
+					left = append(left, a)
+				}
 			}
+			is.True(completeVersions(in.Models[0], left)["1"])
 		}
 	}
-	return reach[layers]
 }
 
 func BenchmarkPlan(b *testing.B) {
--- a/pkg/placement/replan.go
+++ b/pkg/placement/replan.go
@@ -42,7 +42,9 @@
 }
 
 // minReplanRatio is the share of the bound below which Replan also tries a plan
-// from nothing; freshGain is what that must gain, since it loads nearly every engine.
+// from nothing; freshGain is what that must gain, since it loads nearly every
+// engine. With 0.95 and 0.05 the loss of a data centre of 14 engines loaded 683
+// GiB instead of 6 for 6% more throughput, and service fell by half meanwhile.
 // replanEnough is the share at which no further moves are tried;
 // maxReplanMoves limits the trial moves of one search on large fleets.
 const (
--- a/pkg/placement/sim_test.go
+++ b/pkg/placement/sim_test.go
@@ -67,8 +67,8 @@
 	epoch       uint64
 	down        bool
 	incarnation int
-	accepted    int
 	loads       int
+	past        []upstream.EngineState
 }
 
 func newSim(in Input, vms int, rate float64) *sim {
@@ -181,7 +181,6 @@
 
 func (s *sim) accept(e *simEngine, o upstream.Order) {
 	e.epoch = max(e.epoch, o.Epoch)
-	e.accepted++
 	if equal(e.held, o.Wanted) {
 		return
 	}
@@ -208,12 +207,22 @@
 		s.answer(vm, 300*time.Millisecond, func() Event { return StateFailed{id} })
 		return
 	}
-	st := StateRead{AskedAt: s.now, State: upstream.EngineState{
-		Upstream: id, Assignment: e.held, Loading: e.remaining > 0, Epoch: e.epoch, Incarnation: fmt.Sprint(e.incarnation),
-	}}
+	st := StateRead{AskedAt: s.now, State: e.report()}
+	if len(e.past) == reportLagSteps {
+		st.State = e.past[0]
+	}
 	s.answer(vm, 5*time.Millisecond, func() Event { return st })
 }
 
+// reportLagSteps is how far an engine's report lags behind.
+const reportLagSteps = int(500 * time.Millisecond / simStep)
+
+func (e *simEngine) report() upstream.EngineState {
+	return upstream.EngineState{
+		Upstream: e.hw.ID, Assignment: e.held, Loading: e.remaining > 0, Epoch: e.epoch, Incarnation: fmt.Sprint(e.incarnation),
+	}
+}
+
 // fail takes an engine away; back returns it, empty or with what it held.
 func (s *sim) fail(id fleet.UpstreamID) { s.engines[id].down = true }
 
@@ -223,6 +232,7 @@
 	if empty {
 		e.incarnation++
 		e.held, e.remaining, e.epoch = upstream.Assignment{}, 0, 0
+		e.past = nil
 	}
 }
 
@@ -248,6 +258,11 @@
 // step advances virtual time and the store, which shares its rate equally.
 func (s *sim) step() {
 	s.now = s.now.Add(simStep)
+	for _, e := range s.engines {
+		if e.past = append(e.past, e.report()); len(e.past) > reportLagSteps {
+			e.past = e.past[1:]
+		}
+	}
 	var loading []*simEngine
 	for _, e := range s.engines {
 		if e.remaining > 0 && !e.down {
