--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,7 @@
 SEED ?= 1
 GO ?= go
 
-.PHONY: all build check fmt test demo history model bench capacity
-.PHONY: all build check fmt test demo capacity
+.PHONY: all build check fmt test demo history model bench capacity fuzz
 
 all: check test
 
@@ -48,7 +47,15 @@
 demo:
 	$(GO) build -o bin/ ./cmd/...
 	./bin/demo
+
 # capacity measures the control plane's cost on this machine in about two
 # minutes; docs/CAPACITY.md quotes its tables.
 capacity:
 	$(GO) run ./cmd/capacity --seed $(SEED)
+
+# fuzz looks for new inputs that break the decoders; make test runs the committed
+# corpora. FUZZTIME bounds each target.
+FUZZTIME ?= 10s
+fuzz:
+	$(GO) test -run xxx -fuzz FuzzApply -fuzztime $(FUZZTIME) ./pkg/settings
+	$(GO) test -run xxx -fuzz FuzzFrame -fuzztime $(FUZZTIME) ./pkg/wire
