Leave time for the call and the answer while the log is slow

Cause: a claim could wait for a slow log until the caller's deadline, and so could the answer of a call that had run. Change: a claim may take half of the time left, the done record nine tenths of the rest. Conclusion: a slow log gives an early "not run", and an answer in time.

--- a/pkg/confirm/confirm.go
+++ b/pkg/confirm/confirm.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/replica"
@@ -22,10 +23,31 @@
 // Send sends the call to the service once. Its error is an *upstream.Error.
 type Send func(ctx context.Context) (upstream.ServiceResponse, error)
 
+// Shares of the time left before the deadline.
+const (
+	// claimShare bounds the wait for the claim, so that a slow log leads to an
+	// early "not run" and leaves time for the call itself.
+	claimShare = 0.5
+	// doneShare bounds the wait for the done record, so that the answer still
+	// reaches the caller before its deadline.
+	doneShare = 0.9
+)
+
+// within returns a context that ends after a share of the time left before ctx's deadline.
+func within(ctx context.Context, share float64) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(float64(time.Until(deadline))*share))
+}
+
 // Call runs a non-repeatable call. send runs at most once here, and nowhere else
 // for the same key. ctx carries the caller's deadline. The error is a *result.Error.
 func Call(ctx context.Context, claims Claims, req replica.ClaimRequest, send Send) (upstream.ServiceResponse, error) {
-	d, err := claims.Claim(ctx, req)
+	claimCtx, cancel := within(ctx, claimShare)
+	d, err := claims.Claim(claimCtx, req)
+	cancel()
 	if err != nil {
 		return upstream.ServiceResponse{}, err
 	}
@@ -41,8 +63,10 @@
 	if done == nil {
 		return upstream.ServiceResponse{}, failure
 	}
+	doneCtx, cancel := within(ctx, doneShare)
+	defer cancel()
 	// The caller gets its answer even when the record is late: the call ran.
-	_ = claims.Done(ctx, *done)
+	_ = claims.Done(doneCtx, *done)
 	if failure != nil {
 		return upstream.ServiceResponse{}, failure
 	}
--- a/pkg/confirm/confirm_test.go
+++ b/pkg/confirm/confirm_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -83,3 +85,34 @@
 		})
 	}
 }
+
+// slowClaims grants and records only when the context ends.
+type slowClaims struct{ fakeClaims }
+
+func (s *slowClaims) Claim(ctx context.Context, _ replica.ClaimRequest) (replica.Decision, error) {
+	<-ctx.Done()
+	return s.decision, s.err
+}
+
+func (s *slowClaims) Done(ctx context.Context, _ record.Done) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestSlowLog guards against a caller that waits for a slow log until its
+// deadline has passed, before the call or after it.
+func TestSlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		claims := &slowClaims{fakeClaims{decision: replica.Decision{Claim: record.ID{1}}}}
+		start := time.Now()
+		_, err := Call(ctx, claims, replica.ClaimRequest{}, func(context.Context) (upstream.ServiceResponse, error) {
+			is.Equal(time.Since(start), 5*time.Second)
+			return upstream.ServiceResponse{}, nil
+		})
+		is.NoErr(err)
+		is.Equal(time.Since(start), 9500*time.Millisecond)
+	})
+}
