pipeline: move KV caches from engine to engine instead of through the entry VM

Cause: a transfer went through the entry VM as JSON, export then import. An entry VM has 64 MB for control and a real KV cache hundreds of MB, and the bytes crossed the link twice.

Change: Engine.ImportFrom orders the target to fetch the cache from a named source and answers when the target holds it. ExportKV, ImportKV and KVCache are gone from the client; the export is a call between engines. The target refuses a cache of another engine, session, model, version, layer range or length, and an order for an attempt that has started. Error.FailedStage names the source when that failed; the session then keeps the other side for later transfers, where it blamed the source for every failure before. Past the limit both sides are blamed.

Conclusion: the entry VM's part of a transfer is one order and one answer.

--- a/pkg/pipeline/driver.go
+++ b/pkg/pipeline/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -176,16 +177,16 @@
 	return reports
 }
 
-// transfer moves the KV caches at once.
+// transfer has the KV caches moved at once. The bytes go from engine to engine.
 func (r *run) transfer(a Import) []error {
 	ctx, cancel := context.WithTimeout(r.ctx, a.Limit)
 	defer cancel()
 	errs := make([]error, len(a.Transfers))
 	parallel(len(a.Transfers), func(i int) {
 		t := a.Transfers[i]
-		cache, err := t.From.Engine.ExportKV(ctx, r.session.request.Session, t.Positions)
-		if err == nil {
-			err = t.To.Engine.ImportKV(ctx, cache)
+		err := t.To.Engine.ImportFrom(ctx, t.Source)
+		if err != nil && ctx.Err() != nil {
+			err = fmt.Errorf("%w: %w", ErrImportLimit, err)
 		}
 		errs[i] = err
 	})
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// Causes of a failed attempt that the session itself finds.
+// Causes of failures that the session or the driver finds itself.
 var (
 	// ErrGap states that a token event skipped an index.
 	ErrGap = errors.New("token index skipped")
@@ -140,6 +140,8 @@
 	ErrCount = errors.New("final event does not match the tokens")
 	// ErrTokenLimit states that heartbeats came but no token for too long.
 	ErrTokenLimit = errors.New("no token within the limit")
+	// ErrImportLimit states that a KV transfer took longer than its limit.
+	ErrImportLimit = errors.New("KV transfer not done within the limit")
 	// ErrPlan states that the planner gave a chain that can't serve the request.
 	ErrPlan = errors.New("planned chain does not fit")
 )
--- a/pkg/pipeline/recovery.go
+++ b/pkg/pipeline/recovery.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -68,7 +69,7 @@
 			continue
 		}
 		source := exporter(touched, stage.Ref.Layers, start)
-		if source == nil || own != nil && own.noExport {
+		if source == nil || own != nil && own.noTransfer {
 			return r, false
 		}
 		r.transfers = append(r.transfers, Transfer{From: source.stage, To: stage, Positions: start})
@@ -100,13 +101,28 @@
 // exporter returns a stage that can export the positions of a layer range.
 func exporter(touched []*touchedStage, layers fleet.LayerRange, positions int) *touchedStage {
 	for _, t := range touched {
-		if t.stage.Ref.Layers == layers && t.positions >= positions && !t.noExport {
+		if t.stage.Ref.Layers == layers && t.positions >= positions && !t.noTransfer {
 			return t
 		}
 	}
 	return nil
 }
 
+// failedSides returns the stages that a failed transfer speaks against: the
+// source when the target named it, both when the limit passed, because either
+// may be slow, and otherwise the target.
+func failedSides(t Transfer, err error) []Stage {
+	var failure *upstream.Error
+	switch {
+	case errors.Is(err, ErrImportLimit):
+		return []Stage{t.From, t.To}
+	case errors.As(err, &failure) && failure.FailedStage == t.From.Ref.Upstream:
+		return []Stage{t.From}
+	default:
+		return []Stage{t.To}
+	}
+}
+
 // holders lists the stages that hold KV cache.
 func (s *Session) holders() []Holder {
 	var holders []Holder
--- a/pkg/pipeline/session.go
+++ b/pkg/pipeline/session.go
@@ -107,10 +107,12 @@
 func (Release) isAction()     {}
 func (Finish) isAction()      {}
 
-// Transfer moves the first positions of a session's KV cache.
+// Transfer moves the first positions of a session's KV cache between engines.
 type Transfer struct {
 	From, To  Stage
 	Positions int
+	// Source is the order that To is given.
+	Source upstream.KVSource
 }
 
 // phase is what a session waits for.
@@ -135,8 +137,8 @@
 	cached int
 	// lost is set when the stage did not answer a probe.
 	lost bool
-	// noExport is set when a transfer from or to the stage failed.
-	noExport bool
+	// noTransfer is set when a transfer failed because of the stage.
+	noTransfer bool
 }
 
 // Session is the state machine of one generation. It is used by one goroutine.
@@ -324,6 +326,12 @@
 		return
 	}
 	s.phase = importing
+	for i := range s.plan.transfers {
+		t := &s.plan.transfers[i]
+		t.Source = s.source(*t)
+		// A session that ends before the answer frees the KV cache there too.
+		s.touch(t.To)
+	}
 	limit := s.limits.Import
 	if s.plan.rebuild > 0 {
 		limit = min(limit, s.plan.rebuild)
@@ -331,13 +339,29 @@
 	s.do(Import{Transfers: s.plan.transfers, Limit: limit})
 }
 
+// source returns the order that makes the target of a transfer fetch the KV cache.
+func (s *Session) source(t Transfer) upstream.KVSource {
+	return upstream.KVSource{
+		Upstream:  t.From.Ref.Upstream,
+		Address:   t.From.Ref.Address,
+		Session:   s.request.Session,
+		Attempt:   s.attempt + 1,
+		Model:     s.request.Model,
+		Version:   s.request.Version,
+		Layers:    t.From.Ref.Layers,
+		Positions: t.Positions,
+	}
+}
+
 // imported opens the attempt, or chooses again without the failed transfers.
 func (s *Session) imported(e Imported) {
 	failed := false
 	for i, err := range e.Errs {
 		transfer := s.plan.transfers[i]
 		if err != nil {
-			s.touch(transfer.From).noExport = true
+			for _, stage := range failedSides(transfer, err) {
+				s.touch(stage).noTransfer = true
+			}
 			failed = true
 			continue
 		}
--- a/pkg/upstream/protocol.go
+++ b/pkg/upstream/protocol.go
@@ -12,7 +12,6 @@
 	PathGenerate    = "/v1/generate"
 	PathProgress    = "/v1/progress"
 	PathCancel      = "/v1/cancel"
-	PathExportKV    = "/v1/kv/export"
 	PathImportKV    = "/v1/kv/import"
 	PathOrder       = "/v1/order"
 	PathCacheEvents = "/v1/cache-events"
@@ -82,9 +81,3 @@
 	Session string `json:"session"`
 	Attempt int    `json:"attempt"`
 }
-
-// ExportRequest is the body of a KV export call.
-type ExportRequest struct {
-	Session   string `json:"session"`
-	Positions int    `json:"positions"`
-}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -18,7 +18,8 @@
 	Sent bool
 	// Status is the HTTP status, 0 when there was no answer.
 	Status int
-	// FailedStage names the stage of a chain that failed, where the head stage reported it.
+	// FailedStage names the stage of a chain, or the source of a KV cache, that
+	// failed, where the called engine reported it.
 	FailedStage fleet.UpstreamID
 	Err         error
 }
@@ -137,15 +138,21 @@
 	NextPosition int `json:"next_position"`
 }
 
-// KVCache is the exported KV cache of one stage for one session.
-type KVCache struct {
-	Session string           `json:"session"`
+// KVSource names a KV cache on another engine. The engine that is told to import
+// it refuses a cache that differs in any field.
+type KVSource struct {
+	// Upstream and Address are the engine that holds the cache, as in StageRef.
+	Upstream fleet.UpstreamID `json:"upstream"`
+	Address  string           `json:"address"`
+	Session  string           `json:"session"`
+	// Attempt is the attempt that the import is for. It is refused once that one
+	// has started, so that a late import does not replace the cache of a running attempt.
+	Attempt int              `json:"attempt"`
 	Model   fleet.ModelID    `json:"model"`
 	Version string           `json:"version"`
 	Layers  fleet.LayerRange `json:"layers"`
-	// Positions is the number of positions that the cache covers.
-	Positions int    `json:"positions"`
-	Data      []byte `json:"data"`
+	// Positions is the number of leading positions to move.
+	Positions int `json:"positions"`
 }
 
 // Order is an absolute order to an engine: its whole wanted assignment.
@@ -175,8 +182,9 @@
 	Generate(ctx context.Context, req GenerateRequest) (TokenStream, error)
 	Progress(ctx context.Context, session string) (SessionProgress, error)
 	Cancel(ctx context.Context, session string, attempt int) error
-	ExportKV(ctx context.Context, session string, positions int) (KVCache, error)
-	ImportKV(ctx context.Context, cache KVCache) error
+	// ImportFrom makes the engine fetch a KV cache from another one and returns
+	// when the engine holds it. Error.FailedStage names the source when that failed.
+	ImportFrom(ctx context.Context, source KVSource) error
 	Order(ctx context.Context, order Order) error
 	CacheEvents(ctx context.Context, after uint64) (CacheEventBatch, error)
 }
