pipeline: test failed KV transfers to the exact recovery time

Cause: no test made a transfer fail in its middle.

Change: the source dies, the target dies, the transfer is slower than the rebuild, either side answers for another session, the target loses its answer. Each checks the tokens, the chain, the start position and the exact time.

--- a/pkg/pipeline/driver_test.go
+++ b/pkg/pipeline/driver_test.go
@@ -35,19 +35,28 @@
 	driver   *pipeline.Driver
 	tokens   []fleet.Token
 	onToken  func(n int)
+	onPlan   func(pipeline.Need)
 	refusing bool
 	seen     []pipeline.Observation
 	faultAt  time.Time
 }
 
-func newBench(transferPerPosition time.Duration) *bench {
-	b := &bench{engines: map[fleet.UpstreamID]*upstream.HTTPEngine{}, onToken: func(int) {}}
+// newBench starts the replicas, a and b where none are named.
+func newBench(transferPerPosition time.Duration, names ...string) *bench {
+	if len(names) == 0 {
+		names = []string{"a", "b"}
+	}
+	b := &bench{
+		engines: map[fleet.UpstreamID]*upstream.HTTPEngine{},
+		onToken: func(int) {},
+		onPlan:  func(pipeline.Need) {},
+	}
 	network := standin.NewNetwork()
 	var config standin.Config
 	for i := range layers / stageLayers {
 		r := fleet.LayerRange{First: i * stageLayers, End: (i + 1) * stageLayers}
 		var replicas []pipeline.Stage
-		for j, name := range []string{"a", "b"} {
+		for j, name := range names {
 			c := standin.EngineConfig{
 				ID: fmt.Sprint(name, i), Listen: fmt.Sprintf("10.0.%d.%d:80", i, j),
 				Assignment: upstream.Assignment{Role: upstream.RoleServe, Model: "m", Version: "v1", Layers: r},
@@ -91,6 +100,7 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	b.onPlan(need)
 	var chain []pipeline.Stage
 	for _, replicas := range b.stages {
 		i := slices.IndexFunc(replicas, func(s pipeline.Stage) bool {
