pipeline: test that a session abandoned during a KV transfer frees the imported caches

Cause: the random session test never ended a session during a transfer.

Change: it does in one of ten transfers and checks that a failed session releases each stage that got a KV cache.

Conclusion: a transfer that its caller no longer awaits leaves no cache behind.

--- a/pkg/pipeline/session_test.go
+++ b/pkg/pipeline/session_test.go
@@ -41,6 +41,8 @@
 	held map[fleet.UpstreamID]int
 	// sides lists the upstreams because of which a transfer failed.
 	sides map[fleet.UpstreamID]bool
+	// imported lists the upstreams that got a KV cache which no Release freed.
+	imported map[fleet.UpstreamID]bool
 	// mayHaveRun is set once an attempt was sent.
 	mayHaveRun bool
 	lastEvent  pipeline.Event
@@ -50,11 +52,12 @@
 // TestSessionInvariants guards against a token delivered twice, out of order,
 // from another session or attempt or without its receipts; two open attempts; a
 // start position that some stage does not hold; a transfer that names another
-// cache or uses a stage that failed one before; an excluded stage in a chain; a
+// cache or uses a stage that failed one before; an imported cache that a failed
+// session leaves behind; an excluded stage in a chain; a
 // normal end without a matching final event; "not run" for what may have run.
 func TestSessionInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{t: t, now: time.Unix(0, 0), held: map[fleet.UpstreamID]int{}, sides: map[fleet.UpstreamID]bool{}}
+		w := &world{t: t, now: time.Unix(0, 0), held: map[fleet.UpstreamID]int{}, sides: map[fleet.UpstreamID]bool{}, imported: map[fleet.UpstreamID]bool{}}
 		w.request = pipeline.Request{Session: "s", Model: "m", Version: "v1", Layers: 6, Prompt: make([]fleet.Token, rapid.IntRange(1, 40).Draw(t, "prompt")), MaxTokens: rapid.IntRange(1, 6).Draw(t, "max")}
 		w.session = pipeline.NewSession(w.request, pipeline.Limits{Attempts: 5})
 		var event pipeline.Event = pipeline.Begin{}
@@ -98,6 +101,10 @@
 				w.t.Fatalf("token %d delivered as number %d", a.Token, w.delivered)
 			}
 			w.delivered++
+		case pipeline.Release:
+			for _, s := range a.Stages {
+				delete(w.imported, s.Ref.Upstream)
+			}
 		case pipeline.Finish:
 			w.finish(a)
 		}
@@ -149,6 +156,10 @@
 			continue
 		}
 		w.held[t.To.Ref.Upstream] = t.Positions
+		w.imported[t.To.Ref.Upstream] = true
+	}
+	if rapid.IntRange(0, 9).Draw(w.t, "caller leaves") == 0 {
+		return pipeline.Abandoned{Err: result.New(result.CancelledByCaller, result.OutcomeUnknown, "left")}
 	}
 	return pipeline.Imported{Errs: errs}
 }
@@ -264,6 +275,9 @@
 // finish checks the end against what happened.
 func (w *world) finish(f pipeline.Finish) {
 	w.finished = &f
+	if f.Err != nil && len(w.imported) > 0 {
+		w.t.Fatalf("KV caches on %v are not freed", w.imported)
+	}
 	received, _ := w.lastEvent.(pipeline.Received)
 	short := received.Event.FinishReason == "length" && w.delivered < w.request.MaxTokens
 	ok := received.Event.Final && !short && received.Event.Index == w.delivered && received.Event.Attempt == w.lastOpen
