--- a/pkg/pipeline/session_test.go
+++ b/pkg/pipeline/session_test.go
@@ -39,6 +39,10 @@
 	delivered int
 	// held is what each upstream can have of the KV cache, as last reported or imported.
 	held map[fleet.UpstreamID]int
+	// sides lists the upstreams because of which a transfer failed.
+	sides map[fleet.UpstreamID]bool
+	// imported lists the upstreams that got a KV cache which no Release freed.
+	imported map[fleet.UpstreamID]bool
 	// mayHaveRun is set once an attempt was sent.
 	mayHaveRun bool
 	lastEvent  pipeline.Event
@@ -47,12 +51,14 @@
 
 // TestSessionInvariants guards against a token delivered twice, out of order,
 // from another session or attempt or without its receipts; two open attempts; a
-// start position that some stage does not hold; an excluded stage in a chain; a
+// start position that some stage does not hold; a transfer that names another
+// cache or uses a stage that failed one before; an imported cache that a failed
+// session leaves behind; an excluded stage in a chain; a
 // normal end without a matching final event; "not run" for what may have run.
 func TestSessionInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{t: t, now: time.Unix(0, 0), held: map[fleet.UpstreamID]int{}}
-		w.request = pipeline.Request{Session: "s", Model: "m", Layers: 6, Prompt: make([]fleet.Token, rapid.IntRange(1, 40).Draw(t, "prompt")), MaxTokens: rapid.IntRange(1, 6).Draw(t, "max")}
+		w := &world{t: t, now: time.Unix(0, 0), held: map[fleet.UpstreamID]int{}, sides: map[fleet.UpstreamID]bool{}, imported: map[fleet.UpstreamID]bool{}}
+		w.request = pipeline.Request{Session: "s", Model: "m", Version: "v1", Layers: 6, Prompt: make([]fleet.Token, rapid.IntRange(1, 40).Draw(t, "prompt")), MaxTokens: rapid.IntRange(1, 6).Draw(t, "max")}
 		w.session = pipeline.NewSession(w.request, pipeline.Limits{Attempts: 5})
 		var event pipeline.Event = pipeline.Begin{}
 		for step := 0; w.finished == nil; step++ {
@@ -95,6 +101,10 @@
 				w.t.Fatalf("token %d delivered as number %d", a.Token, w.delivered)
 			}
 			w.delivered++
+		case pipeline.Release:
+			for _, s := range a.Stages {
+				delete(w.imported, s.Ref.Upstream)
+			}
 		case pipeline.Finish:
 			w.finish(a)
 		}
@@ -131,15 +141,45 @@
 		if t.From.Ref.Layers != t.To.Ref.Layers || w.held[t.From.Ref.Upstream] < t.Positions {
 			w.t.Fatalf("transfer of %d positions from %s, which holds %d", t.Positions, t.From.Ref.Upstream, w.held[t.From.Ref.Upstream])
 		}
+		want := upstream.KVSource{
+			Upstream: t.From.Ref.Upstream, Address: t.From.Ref.Address, Session: w.request.Session, Attempt: w.lastOpen + 1,
+			Model: w.request.Model, Version: w.request.Version, Layers: t.To.Ref.Layers, Positions: t.Positions,
+		}
+		if t.Source != want {
+			w.t.Fatalf("order %+v instead of %+v", t.Source, want)
+		}
+		if w.sides[t.From.Ref.Upstream] || w.sides[t.To.Ref.Upstream] {
+			w.t.Fatalf("transfer from %s to %s after one that failed because of %v", t.From.Ref.Upstream, t.To.Ref.Upstream, w.sides)
+		}
 		if rapid.Bool().Draw(w.t, "transfer fails") {
-			errs[i] = errors.New("lost")
+			errs[i] = w.transferError(t)
 			continue
 		}
 		w.held[t.To.Ref.Upstream] = t.Positions
+		w.imported[t.To.Ref.Upstream] = true
+	}
+	if rapid.IntRange(0, 9).Draw(w.t, "caller leaves") == 0 {
+		return pipeline.Abandoned{Err: result.New(result.CancelledByCaller, result.OutcomeUnknown, "left")}
 	}
 	return pipeline.Imported{Errs: errs}
 }
 
+// transferError draws the error of a transfer and notes whom it speaks against.
+func (w *world) transferError(t pipeline.Transfer) error {
+	from, to := t.From.Ref.Upstream, t.To.Ref.Upstream
+	switch rapid.IntRange(0, 2).Draw(w.t, "side") {
+	case 0:
+		w.sides[from] = true
+		return &upstream.Error{Upstream: to, Sent: true, Status: 502, FailedStage: from, Err: errors.New("lost")}
+	case 1:
+		w.sides[to] = true
+		return &upstream.Error{Upstream: to, Err: errors.New("refused")}
+	default:
+		w.sides[from], w.sides[to] = true, true
+		return fmt.Errorf("%w: slow", pipeline.ErrImportLimit)
+	}
+}
+
 // opened checks an attempt as it begins.
 func (w *world) opened(a pipeline.Open) {
 	r := a.Request
@@ -235,6 +275,9 @@
 // finish checks the end against what happened.
 func (w *world) finish(f pipeline.Finish) {
 	w.finished = &f
+	if f.Err != nil && len(w.imported) > 0 {
+		w.t.Fatalf("KV caches on %v are not freed", w.imported)
+	}
 	received, _ := w.lastEvent.(pipeline.Received)
 	short := received.Event.FinishReason == "length" && w.delivered < w.request.MaxTokens
 	ok := received.Event.Final && !short && received.Event.Index == w.delivered && received.Event.Attempt == w.lastOpen
