admission: let a team take the last urgent slots only at its pace

Cause: at the start of a flood the large teams filled all slots within 0.2 s with requests that end together 2 to 3 s later; small teams waited longer than 0.9 s. Change: once three quarters of the urgent rank's slots are in use, a team may run 2 requests or 1.5 times its recent number (2 s half-life); the next team within its pace starts instead.

--- a/pkg/admission/heap.go
+++ b/pkg/admission/heap.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
@@ -57,9 +58,25 @@
 	counter float64 // started cost divided by weight
 	queued  int
 	running int
+	level   float64 // recent mean of running
+	levelAt time.Time
 	work    float64 // queued cost
 }
 
+// decay ages the level to now; it is called before running changes.
+func (t *team) decay(now time.Time) {
+	keep := math.Exp2(-float64(now.Sub(t.levelAt)) / float64(paceHalfLife))
+	t.level = t.level*keep + float64(t.running)*(1-keep)
+	t.levelAt = now
+}
+
+// paced reports whether the team may take one of the last free slots: it does
+// not grow much faster than it has been running.
+func (t *team) paced(now time.Time) bool {
+	t.decay(now)
+	return float64(t.running+1) <= paceFactor*t.level+paceFree
+}
+
 // lane holds the queued requests of one team in one bucket.
 type lane struct {
 	team    *team
--- a/pkg/admission/pipeline.go
+++ b/pkg/admission/pipeline.go
@@ -25,6 +25,17 @@
 // floodFactor is the multiple of a rank's share above which arrivals count as a flood.
 const floodFactor = 1.5
 
+const (
+	// paceFrom is the fraction of the urgent rank's slots in use from which a team
+	// may take further ones only at its pace. Without it the start of a flood fills all
+	// slots within a moment with requests that end together seconds later, and
+	// other teams wait for them.
+	paceFrom     = 0.75
+	paceFactor   = 1.5
+	paceFree     = 2 // requests that any team may run
+	paceHalfLife = 2 * time.Second
+)
+
 // pipeline is the queue and the in-flight account of one model.
 type pipeline struct {
 	slots    int
@@ -139,7 +150,7 @@
 // its guaranteed share, urgent and lookup work within theirs, and urgent work of
 // a team below its share may use the extra depth and other ranks' reserves: its
 // wait would otherwise depend on how long other requests run.
-func (p *pipeline) allowed(cfg *Config, r fleet.Rank, owed bool) bool {
+func (p *pipeline) allowed(cfg *Config, r fleet.Rank, e *entry, owed bool) bool {
 	if p.slots <= 0 {
 		return false
 	}
@@ -148,7 +159,7 @@
 	if owed || p.within(cfg, r) {
 		return p.total < p.slots+depth
 	}
-	if r == fleet.Urgent && p.ranks[r].headBehind() {
+	if r == fleet.Urgent && p.ranks[r].behind(e) {
 		// In a flood of urgent work the rest stays for lookups.
 		return p.total < p.slots+depth*3/4
 	}
@@ -181,7 +192,11 @@
 		return e
 	}
 	for r := range fleet.Rank(fleet.RankCount) {
-		if e := p.ranks[r].head(); e != nil && p.allowed(cfg, r, false) {
+		e := p.ranks[r].head()
+		if e != nil && r == fleet.Urgent && float64(p.inFlight[r]) >= paceFrom*p.entitled(cfg, r)*float64(p.slots) {
+			e = p.ranks[r].pacedHead(now)
+		}
+		if e != nil && p.allowed(cfg, r, e, false) {
 			return e
 		}
 	}
@@ -197,7 +212,7 @@
 		if e == nil || p.credit[r] < e.req.Cost || p.credit[r] <= most {
 			continue
 		}
-		if p.allowed(cfg, r, true) {
+		if p.allowed(cfg, r, e, true) {
 			best, most = e, p.credit[r]
 		}
 	}
@@ -235,6 +250,7 @@
 		p.credit[r] = min(p.credit[r]+shareMargin*share*cost, max(share*p.rate(), 1.5*head.req.Cost))
 	}
 	r := e.req.Rank
+	e.team.decay(p.decayedAt)
 	p.credit[r] = max(p.credit[r]-cost, -2*cost)
 	p.used[r] += cost
 	p.inFlight[r]++
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -128,6 +128,7 @@
 	}
 	p.inFlight[e.req.Rank]--
 	p.total--
+	e.team.decay(now)
 	e.team.running--
 	delete(q.entries, id)
 	q.release(e)
@@ -161,6 +162,7 @@
 		p := e.pipe
 		p.inFlight[e.req.Rank]--
 		p.total--
+		e.team.decay(now)
 		e.team.running--
 		delete(q.entries, id)
 		q.release(e)
--- a/pkg/admission/rankqueue.go
+++ b/pkg/admission/rankqueue.go
@@ -94,11 +94,33 @@
 	}
 }
 
-// headBehind reports whether the team of the next entry stays below the floor
-// when the entry starts: it got less than the others.
-func (q *rankQueue) headBehind() bool {
-	e := q.head()
-	return e != nil && e.team.counter+e.req.Cost/e.team.weight <= q.floor
+// behind reports whether the entry's team stays below the floor when the entry
+// starts: it got less than the others.
+func (q *rankQueue) behind(e *entry) bool {
+	return e.team.counter+e.req.Cost/e.team.weight <= q.floor
+}
+
+// pacedLook bounds the teams that pacedHead looks at; they are about those with
+// the lowest counters.
+const pacedLook = 16
+
+// pacedHead returns the first entry of a team within its pace, nil if none of
+// the first teams is.
+func (q *rankQueue) pacedHead(now time.Time) *entry {
+	if e := q.head(); e == nil || e.team.paced(now) {
+		return e
+	}
+	var best *lane
+	h := q.buckets[0].heap
+	for _, l := range h[:min(len(h), pacedLook)] {
+		if l.team.paced(now) && (best == nil || l.team.counter < best.team.counter) {
+			best = l
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.entries[0]
 }
 
 // remove takes an entry out of its lane and drops empty lanes and buckets.
