--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -32,6 +32,10 @@
 	fleetSecret = "demo-fleet-secret-0123456789"
 )
 
+// engineMemory fits about 20 of the model's 32 layers with their KV caches, so
+// that no engine holds the whole model.
+const engineMemory = 900 << 20
+
 // dataCentres are those of the deployment; vmDataCentres places the four VMs.
 var (
 	dataCentres   = []fleet.DataCentreID{"gossau", "wil", "herisau"}
@@ -164,7 +168,7 @@
 	}
 	return map[string]any{
 		"kind": "engine", "address": e.Listen, "data_centre": d.specs[i].dc, "speed": speed,
-		"memory_bytes": 8 << 30, "slots": e.Slots, "fencing": "enforced",
+		"memory_bytes": engineMemory, "slots": e.Slots, "fencing": "enforced",
 	}
 }
 
--- a/pkg/entry/planner.go
+++ b/pkg/entry/planner.go
@@ -168,9 +168,11 @@
 
 func (p *chainPlanner) attemptFailed(o pipeline.Observation) {
 	p.failedAt = o.Accepted
-	for _, id := range o.Unreachable {
+	if len(o.Unreachable) > 0 {
+		// One attempt counts as one crash: the probes of further stages can time
+		// out on a busy machine, and two crashes quarantine the request.
 		p.crashed = true
-		p.server.suspects.crashed(p.server.fleetView().crashOf(id))
+		p.server.suspects.crashed(p.server.fleetView().crashOf(o.Unreachable[0]))
 	}
 	for _, id := range o.Suspects {
 		p.server.control.suspected(id, o.Err, slices.Contains(o.Unreachable, id))
