Say unknown for keyed calls while the log is away; wait out a drain under way

Change: keyed refusals while the log or the VM is closed say outcome unknown; a second stop waits for the first; the placement owner leaves its lease on a stop.

--- a/pkg/entry/drain.go
+++ b/pkg/entry/drain.go
@@ -17,12 +17,14 @@
 	mu       sync.Mutex
 	inFlight int
 	started  bool
-	until    time.Time
 	closed   bool
 	idle     chan struct{}
+	ended    chan struct{}
 }
 
-func newDrainer() *drainer { return &drainer{idle: make(chan struct{})} }
+func newDrainer() *drainer {
+	return &drainer{idle: make(chan struct{}), ended: make(chan struct{})}
+}
 
 // enter counts a request in; it reports false once the VM takes no more.
 func (d *drainer) enter() bool {
@@ -43,16 +45,13 @@
 	d.signal()
 }
 
-// begin starts the planned stop. Requests are accepted until the given time,
-// because callers may still hold this VM's address.
-func (d *drainer) begin(until time.Time) bool {
+// begin starts the planned stop; it reports false when one is under way.
+func (d *drainer) begin() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.started {
-		return false
-	}
-	d.started, d.until = true, until
-	return true
+	first := !d.started
+	d.started = true
+	return first
 }
 
 // close refuses new requests from now on.
@@ -84,13 +83,22 @@
 func (s *Server) inFlight(handle khttp.HandlerFunc) khttp.HandlerFunc {
 	return func(ctx khttp.Context) error {
 		if !s.drain.enter() {
-			return result.New(result.Draining, result.NotRun, "this VM stops; ask GET /v1/address again").WithRetryAfter(time.Millisecond)
+			return result.New(result.Draining, keyedOutcome(ctx.Request()), "this VM stops; ask GET /v1/address again").WithRetryAfter(time.Millisecond)
 		}
 		defer s.drain.exit()
 		return handle(ctx)
 	}
 }
 
+// keyedOutcome returns what is certain of a request that is refused unread. With
+// an idempotency key it may be the repetition of one that ran through another VM.
+func keyedOutcome(r *http.Request) result.Outcome {
+	if r.Header.Get(headerIdempotencyKey) != "" {
+		return result.OutcomeUnknown
+	}
+	return result.NotRun
+}
+
 // drainMargin covers the way of an address answer to its caller and of the
 // caller's request back, far above today's millisecond.
 const drainMargin = 2 * time.Second
@@ -108,11 +116,16 @@
 	began := time.Now()
 	d := s.directory()
 	until := began.Add(d.local.Address.ValidFor + drainMargin)
-	if !s.drain.begin(until) {
+	if !s.drain.begin() {
+		<-s.drain.ended // a second stop order must not cut the first one short
 		return
 	}
+	defer close(s.drain.ended)
 	s.log.Log(event.DrainStarted).Time("until", until).Send()
-	s.control.post(func(time.Time) { s.control.members.Drain(); s.control.dirty = true })
+	s.control.post(func(time.Time) {
+		s.control.members.Drain()
+		s.control.placer.owner.Leave()
+	})
 	time.Sleep(time.Until(until))
 	s.drain.close()
 	select {
--- a/pkg/replica/runner.go
+++ b/pkg/replica/runner.go
@@ -432,6 +432,15 @@
 	return result.New(result.LogUnavailable, result.NotRun, "the log does not answer; %s", detail).WithRetryAfter(outageRetryAfter)
 }
 
+// claimUnavailable refuses a call with a key while the register cannot be read.
+// This attempt was not sent, but an earlier one with the same key may have run
+// through another VM, so "not run" would be a false statement about the call.
+func claimUnavailable(detail string) *result.Error {
+	e := unavailable(detail + "; whether an earlier call with the key ran is not known")
+	e.Outcome = result.OutcomeUnknown
+	return e
+}
+
 // settingsError returns the result error of a void settings change.
 func settingsError(err error) *result.Error {
 	var conflict *settings.ConflictError
@@ -479,7 +488,7 @@
 	}
 	c := &record.Claim{Team: req.Team, Route: req.Route, Key: key, BodyHash: req.Body, Holder: r.cfg.VM}
 	id := r.cfg.NewID()
-	refused := unavailable("nothing was claimed")
+	refused := claimUnavailable("nothing was claimed")
 	var info claim.Info
 	o := r.propose(ctx, record.Record{ID: id, Kind: record.KindClaim, Claim: c}, func(now time.Time) bool {
 		info, refused = r.lookup(c, now)
@@ -491,7 +500,7 @@
 	case info.Status == claim.Finished:
 		return r.replay(ctx, info.DoneOffset)
 	case !o.decided:
-		return Decision{}, unavailable("the claim was given up before anything was sent")
+		return Decision{}, claimUnavailable("the claim was given up before anything was sent")
 	case o.verdict.Valid():
 		return Decision{Claim: id}, nil
 	case o.verdict.Reason == Expired:
@@ -502,7 +511,7 @@
 
 // lost answers a claim that another one came before.
 func (r *Runner) lost(ctx context.Context, c *record.Claim) (Decision, error) {
-	refused := unavailable("nothing was claimed")
+	refused := claimUnavailable("nothing was claimed")
 	var info claim.Info
 	r.do(ctx, func(now time.Time) []Action {
 		info, refused = r.lookup(c, now)
@@ -512,7 +521,7 @@
 		return r.replay(ctx, info.DoneOffset)
 	}
 	if refused == nil {
-		refused = unavailable("the other claim was forgotten meanwhile")
+		refused = claimUnavailable("the other claim was forgotten meanwhile")
 	}
 	return Decision{}, refused
 }
@@ -539,7 +548,7 @@
 	case info.Status == claim.Pending:
 		return info, r.pendingError(info, now)
 	case info.Status == claim.Free && !r.replica.LogUp():
-		return info, unavailable("nothing was claimed")
+		return info, claimUnavailable("nothing was claimed")
 	}
 	return info, nil
 }
