Let suspects wait out the grace after VMs changed

Cause: owners grant no permit for half of PermitFor (5 s) after the set of VMs changed, but a suspect waited 2 s only; so an engine lost soon after a VM joined broke the streams on it (code 3004 in TestOfficialClientStreamsThroughADyingStage, 1 run in 4). Change: PermitFor 4 s, WaitFor 4 s; the refusal names its own reason.

--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -39,7 +39,7 @@
 	select {
 	case a := <-decided:
 		if a.Kind == quarantine.Refuse {
-			return nil, result.New(a.Code, result.NotRun, "near-identical requests crashed the upstreams that ran them").WithRetryAfter(a.RetryAfter)
+			return nil, result.New(a.Code, result.NotRun, "%s", suspectDetail(a.Code)).WithRetryAfter(a.RetryAfter)
 		}
 		return &fingerprint, nil
 	case <-ctx.Done():
@@ -48,6 +48,13 @@
 	}
 }
 
+func suspectDetail(code result.Code) string {
+	if code == result.Quarantined {
+		return "near-identical requests crashed the upstreams that ran them"
+	}
+	return "the request ran on an upstream that crashed and waited too long behind others like it"
+}
+
 // started books the chain on which a request runs.
 func (q *suspects) started(id fleet.RequestID, f *quarantine.Fingerprint, chain []fleet.UpstreamID) {
 	q.mu.Lock()
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -36,7 +36,9 @@
 	RefuseFor time.Duration
 	// PermitFor is how long a permit lasts unless it is renewed.
 	PermitFor time.Duration
-	// WaitFor bounds how long a suspect waits for a permit before it is refused.
+	// WaitFor bounds how long a suspect waits for a permit before it is refused. It
+	// exceeds PermitFor/2, for which owners grant nothing after VMs changed: with
+	// less, each loss of an engine soon after a VM joined broke its streams.
 	WaitFor time.Duration
 	// MaxSuspects bounds the memory; the oldest suspicion makes room.
 	MaxSuspects int
@@ -46,7 +48,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Settle: 300 * time.Millisecond, SuspectFor: 5 * time.Minute, RefuseFor: 10 * time.Minute,
-		PermitFor: 10 * time.Second, WaitFor: 2 * time.Second, MaxSuspects: 4096,
+		PermitFor: 4 * time.Second, WaitFor: 4 * time.Second, MaxSuspects: 4096,
 	}
 }
 
