--- a/pkg/placement/executor.go
+++ b/pkg/placement/executor.go
@@ -33,7 +33,8 @@
 	Deliver func(Event)
 	// Note writes a log event. It is called from Run.
 	Note func(Note)
-	// Timeout limits each call.
+	// Timeout limits each call. At most OwnerConfig.OrderTimeout, so that Owner
+	// hears of an order's end before it gives up waiting.
 	Timeout time.Duration
 
 	running sync.WaitGroup
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -92,7 +92,10 @@
 	LoadedBytes float64
 }
 
-// NewOwner returns an Owner that does not hold the lease.
+// NewOwner returns an Owner that does not hold the lease. It needs the last
+// valid lease record of the resource as LeaseRead once the log has been read,
+// the settings as InputChanged, and a Tick every TickInterval. Without the
+// lease record it takes the lease for free and its own records stay void.
 func NewOwner(config OwnerConfig, now time.Time) *Owner {
 	return &Owner{
 		config:  config,
