Pull lacking members only while the counts keep differing

Cause: 150 nodes over TCP did not complete their views within a minute, and a restart still cost 2.4 MB, because the patience restarted with each new member and was not ended by equal counts.

--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
 )
@@ -70,7 +69,6 @@
 func (m *Machine) add(news Member) {
 	x := &member{Member: news, rank: relayRank(news.DomainID(), news.ID)}
 	m.members[news.ID] = x
-	m.lackingSince = time.Time{}
 	m.order = append(m.order, news.ID)
 	// A random place in the round keeps all VMs from probing a new one at once.
 	i, j := m.rand.IntN(len(m.order)), len(m.order)-1
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -176,6 +176,9 @@
 // these are mostly news on their way.
 func (m *Machine) pull(from Member, live uint32) {
 	own := m.liveCount()
+	if live == own {
+		m.lackingSince = time.Time{}
+	}
 	if live <= own || m.now.Before(m.nextPull) {
 		return
 	}
@@ -186,7 +189,6 @@
 		if m.now.Sub(m.lackingSince) < pullPatience {
 			return
 		}
-		m.lackingSince = time.Time{}
 	}
 	m.nextPull = m.now.Add(PullInterval)
 	m.sequence++
