pipeline: a start position for each stage

Cause: after the loss of a stage every stage ran the earlier positions again, also those after it, which had kept their KV caches.

Change: StageRef.Start replaces KeepKV and GenerateRequest.StartPosition. A stage drops the activations of positions before its start, which its KV cache covers. Starts never fall along the chain, because a stage needs the activations of the one before it. The session prices each pair of start positions, an earlier one up to some stage and a later one after it. The limit of a transfer is the least cost without transfers.

Conclusion: the stages up to the lost one still run the earlier positions again; those after it do not.

--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -35,7 +35,7 @@
 // Stage is one stage of a planned chain with its costs as measured. A cost of 0
 // means unknown and counts as free.
 type Stage struct {
-	// Ref names the stage. The session sets Ref.KeepKV itself.
+	// Ref names the stage. The session sets Ref.Start itself.
 	Ref    upstream.StageRef
 	Engine upstream.Engine
 	// PrefillPerPosition is the time in which the stage runs one position of a prompt.
@@ -175,7 +175,7 @@
 	Accepted int
 	// Start is the first position that the attempt runs.
 	Start int
-	// Recomputed is the number of positions that the attempt runs again.
+	// Recomputed is the most positions that a stage runs again in the attempt.
 	Recomputed int
 	// Imported is the number of KV positions moved between engines, summed over stages.
 	Imported int
--- a/pkg/pipeline/recovery.go
+++ b/pkg/pipeline/recovery.go
@@ -11,12 +11,12 @@
 
 // recovery is how an attempt gets its KV cache.
 type recovery struct {
-	// start is the first position to run; every stage holds the earlier ones
-	// after the transfers. 0 means a rebuild.
-	start     int
+	// starts holds the first position that each stage of the chain runs; it holds
+	// the earlier ones after the transfers. 0 means a rebuild from an empty cache.
+	starts    []int
 	transfers []Transfer
 	cost      time.Duration
-	// rebuild is the cost of the rebuild; transfers that take longer are given up,
+	// rebuild is the least cost without transfers; transfers that take longer are given up,
 	// so that a wrong estimate costs at most that much.
 	rebuild time.Duration
 }
@@ -31,34 +31,66 @@
 }
 
 // choose returns the cheapest way to bring all stages of the chain to the target
-// position: each start position that some stage's KV cache allows is priced as
-// the slowest transfer plus the prefill of the rest on each stage. Of equal ones the latest
-// start wins, because it runs the least.
+// position: each pair of start positions that the KV caches allow, an earlier one
+// up to some stage and a later one from there on, is priced as the slowest
+// transfer plus the prefill of the rest on each stage. Of equal ones the one
+// that runs the least wins.
 func choose(chain []Stage, touched []*touchedStage, target int) recovery {
-	var starts []int
+	starts := []int{0}
 	for _, t := range touched {
 		if t.positions > 0 {
 			starts = append(starts, min(t.positions, target))
 		}
 	}
 	slices.Sort(starts)
-	best, _ := price(chain, touched, 0, target)
+	best, _ := price(chain, touched, make([]int, len(chain)), target)
 	rebuild := best.cost
-	for _, start := range slices.Compact(starts) {
-		option, possible := price(chain, touched, start, target)
-		if possible && option.cost <= best.cost {
-			best = option
+	for _, option := range startOptions(len(chain), slices.Compact(starts)) {
+		r, possible := price(chain, touched, option, target)
+		if !possible {
+			continue
+		}
+		if len(r.transfers) == 0 {
+			rebuild = min(rebuild, r.cost)
+		}
+		if r.cost < best.cost || r.cost == best.cost && sum(r.starts) > sum(best.starts) {
+			best = r
 		}
 	}
 	best.rebuild = rebuild
 	return best
 }
 
-// price returns the recovery with the given start, if the KV caches allow it.
-func price(chain []Stage, touched []*touchedStage, start, target int) (recovery, bool) {
-	r := recovery{start: start}
+// startOptions returns the start positions of a chain that has one of the
+// given ones, in rising order, up to some stage and the same or a later one after it.
+func startOptions(stages int, starts []int) [][]int {
+	var options [][]int
+	for i, low := range starts {
+		options = append(options, slices.Repeat([]int{low}, stages))
+		for _, high := range starts[i+1:] {
+			for before := 1; before < stages; before++ {
+				options = append(options, slices.Concat(
+					slices.Repeat([]int{low}, before), slices.Repeat([]int{high}, stages-before)))
+			}
+		}
+	}
+	return options
+}
+
+func sum(values []int) int {
+	total := 0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
+// price returns the recovery with the given starts, if the KV caches allow it.
+func price(chain []Stage, touched []*touchedStage, starts []int, target int) (recovery, bool) {
+	r := recovery{starts: starts}
 	var prefill, transfer time.Duration
-	for _, stage := range chain {
+	for i, stage := range chain {
+		start := starts[i]
 		own := find(touched, stage.Ref)
 		left := target + 1 - start
 		if start == 0 {
--- a/pkg/pipeline/session.go
+++ b/pkg/pipeline/session.go
@@ -383,27 +383,26 @@
 	refs := make([]upstream.StageRef, len(s.chain))
 	for i, stage := range s.chain {
 		refs[i] = stage.Ref
-		refs[i].KeepKV = s.plan.start > 0
+		refs[i].Start = s.plan.starts[i]
 		s.touch(stage).lost = false
 	}
 	s.notify(Observation{
 		Kind:       AttemptStarted,
-		Start:      s.plan.start,
-		Recomputed: max(0, min(s.furthest, s.target())-s.plan.start),
+		Start:      s.plan.starts[0],
+		Recomputed: max(0, min(s.furthest, s.target())-s.plan.starts[0]),
 		Imported:   s.plan.moved(),
 	})
 	s.do(Open{Head: s.chain[0], Request: upstream.GenerateRequest{
-		Session:       s.request.Session,
-		Attempt:       s.attempt,
-		Model:         s.request.Model,
-		Version:       s.request.Version,
-		Adapter:       s.request.Adapter,
-		Chain:         refs,
-		Tokens:        s.tokens(),
-		PromptLen:     len(s.request.Prompt),
-		StartPosition: s.plan.start,
-		MaxTokens:     s.request.MaxTokens,
-		Rank:          s.request.Rank,
+		Session:   s.request.Session,
+		Attempt:   s.attempt,
+		Model:     s.request.Model,
+		Version:   s.request.Version,
+		Adapter:   s.request.Adapter,
+		Chain:     refs,
+		Tokens:    s.tokens(),
+		PromptLen: len(s.request.Prompt),
+		MaxTokens: s.request.MaxTokens,
+		Rank:      s.request.Rank,
 	}})
 }
 
@@ -539,7 +538,7 @@
 			if r.Err == nil {
 				t.positions = r.Progress.NextPosition
 				s.furthest = max(s.furthest, r.Progress.NextPosition)
-				t.cached = max(t.cached, s.cachedBy(t.positions))
+				t.cached = max(t.cached, s.cachedBy(t))
 			}
 		}
 	}
@@ -556,13 +555,16 @@
 	return lost
 }
 
-// cachedBy returns the prompt positions in the prefix cache of a stage that ran
-// this many positions from an empty KV cache.
-func (s *Session) cachedBy(positions int) int {
-	if s.plan.start > 0 {
+// cachedBy returns the prompt positions that the attempt has put into the prefix
+// cache of a stage: those that it ran from an empty KV cache.
+func (s *Session) cachedBy(t *touchedStage) int {
+	i := slices.IndexFunc(s.chain, func(stage Stage) bool {
+		return stage.Ref.Upstream == t.stage.Ref.Upstream && stage.Ref.Layers == t.stage.Ref.Layers
+	})
+	if i < 0 || s.plan.starts[i] > 0 {
 		return 0
 	}
-	return min(positions, len(s.request.Prompt)) / upstream.PrefixBlock * upstream.PrefixBlock
+	return min(t.positions, len(s.request.Prompt)) / upstream.PrefixBlock * upstream.PrefixBlock
 }
 
 // retryAnswered plans the next attempt or gives up.
--- a/pkg/pipeline/suspect.go
+++ b/pkg/pipeline/suspect.go
@@ -32,9 +32,9 @@
 	if failure != nil && s.inChain(failure.FailedStage) {
 		v.suspects = append(v.suspects, failure.FailedStage)
 	}
-	for _, stage := range s.chain {
+	for i, stage := range s.chain {
 		id := stage.Ref.Upstream
-		if s.dead(id, byID) && !slices.Contains(v.suspects, id) {
+		if s.dead(i, byID) && !slices.Contains(v.suspects, id) {
 			v.suspects = append(v.suspects, id)
 		}
 	}
@@ -59,10 +59,10 @@
 	return verdict{refusals: []fleet.UpstreamID{id}}
 }
 
-// dead reports whether the stage does not answer, or has lost KV cache that it
+// dead reports whether the i-th stage of the chain does not answer, or has lost KV cache that it
 // must have had, as after a restart.
-func (s *Session) dead(id fleet.UpstreamID, reports map[fleet.UpstreamID]Report) bool {
-	r, probed := reports[id]
+func (s *Session) dead(i int, reports map[fleet.UpstreamID]Report) bool {
+	r, probed := reports[s.chain[i].Ref.Upstream]
 	if !probed || r.Err != nil {
 		return true
 	}
@@ -70,7 +70,7 @@
 		// The stage ended the session in good order and freed the KV cache.
 		return false
 	}
-	had := s.plan.start
+	had := s.plan.starts[i]
 	if len(s.accepted) > s.acceptedBefore {
 		had = s.target()
 	}
--- a/pkg/standin/protocol_test.go
+++ b/pkg/standin/protocol_test.go
@@ -35,6 +35,10 @@
 		{"attempt without its start", call(3, 1, false, "v1", 4), upstream.RefusedAttempt},
 		{"higher attempt from an empty KV cache", call(3, 0, true, "v1", 4), ""},
 		{"higher attempt with a KV cache that is not kept", call(3, 1, true, "v1", 4), upstream.RefusedPosition},
+		{"start beyond the positions sent", strings.Replace(call(3, 0, true, "v1", 4), `"layers"`, `"start":1,"layers"`, 1), upstream.RefusedPosition},
+		{"start before the positions sent", strings.Replace(call(3, 2, true, "v1", 4), `"layers"`, `"start":1,"layers"`, 1), upstream.RefusedPosition},
+		{"start beyond the KV cache", strings.Replace(call(3, 2, true, "v1", 4), `"layers"`, `"start":2,"layers"`, 1), upstream.RefusedPosition},
+		{"start at the end of the KV cache", strings.Replace(call(3, 1, true, "v1", 4), `"layers"`, `"start":1,"layers"`, 1), ""},
 		{"other version", call(2, 1, false, "v2", 4), upstream.RefusedAssignment},
 		{"other layers", call(2, 1, false, "v1", 5), upstream.RefusedAssignment},
 	} {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -76,9 +76,11 @@
 	Address string `json:"address"`
 	// Layers must equal the engine's assigned range, otherwise it refuses.
 	Layers fleet.LayerRange `json:"layers"`
-	// KeepKV asks the stage to keep the session's KV cache up to the start
-	// position. Otherwise the stage starts from an empty cache.
-	KeepKV bool `json:"keep_kv"`
+	// Start is the first position that the stage runs in the attempt. The stage keeps
+	// the session's KV cache of the earlier ones and drops activations for them; 0
+	// means an empty cache. Start never falls along the chain, because a stage
+	// needs the activations of the one before it.
+	Start int `json:"start"`
 }
 
 // GenerateRequest opens an attempt of a session on the head stage.
@@ -94,8 +96,6 @@
 	Tokens []fleet.Token `json:"tokens"`
 	// PromptLen is the number of prompt tokens at the head of Tokens.
 	PromptLen int `json:"prompt_len"`
-	// StartPosition is the first position to run; earlier ones are in the kept or imported KV caches.
-	StartPosition int `json:"start_position"`
 	// MaxTokens limits the generated tokens of the whole session.
 	MaxTokens int        `json:"max_tokens"`
 	Rank      fleet.Rank `json:"rank"`
