--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -239,8 +239,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		alive := c.server.probe(ctx, condition)
-		c.post(func(now time.Time) { c.act(c.detector.Probed(now, id, alive, c.actions[:0])) })
+		err := c.server.probe(ctx, condition)
+		if err != nil && classify(err) != refused {
+			return // the detector times unanswered probes out; only a refusal proves the upstream down
+		}
+		c.post(func(now time.Time) { c.act(c.detector.Probed(now, id, err == nil, c.actions[:0])) })
 	}()
 }
 
--- a/pkg/entry/upstreams.go
+++ b/pkg/entry/upstreams.go
@@ -115,17 +115,25 @@
 	return batch.Next
 }
 
-// probe reports whether an upstream answers over a new connection.
-func (s *Server) probe(ctx context.Context, c *condition) bool {
+// probe asks an upstream for an answer over a new connection. An error status is
+// an answer too.
+func (s *Server) probe(ctx context.Context, c *condition) error {
 	if !c.isEngine() {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.address)
-		if err != nil {
-			return false
-		}
-		_ = conn.Close()
-		return true
+		return dial(ctx, c)
 	}
 	_, err := c.engine.Progress(ctx, "probe")
 	var e *upstream.Error
-	return err == nil || errors.As(err, &e) && e.Status != 0
+	if errors.As(err, &e) && e.Status != 0 {
+		return nil
+	}
+	return err
+}
+
+// dial opens a connection to a server of a plain service, which has no probe of its own.
+func dial(ctx context.Context, c *condition) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return &upstream.Error{Upstream: c.id, Err: err}
+	}
+	return conn.Close()
 }
