Write the log events for peers, data centres, settings and rehearsals

Cause: events 407, 504 to 508 and 802 stood in the catalogue and were never written. Change: changeLog compares conditions at each control tick. Result: make check passes.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -102,6 +102,7 @@
 	placer     *placer
 	actions    []outlier.Action
 	dirty      bool
+	changes    *changeLog
 	shares     *admission.Shares
 	// heard is the version of each member whose demand the shares hold.
 	heard map[fleet.VMID]uint64
@@ -117,6 +118,7 @@
 		conditions: map[fleet.UpstreamID]*condition{},
 		detector:   outlier.New(outlier.DefaultConfig()),
 		done:       make(chan struct{}),
+		changes:    newChangeLog(s),
 		shares:     admission.NewShares(s.cfg.VM),
 		heard:      map[fleet.VMID]uint64{},
 	}
@@ -162,6 +164,7 @@
 	c.publish(now)
 	c.server.gate.tick()
 	c.server.suspects.tick(c.vmIDs())
+	c.changes.tick(now)
 	c.setCapacities(now)
 }
 
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -9,6 +9,7 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/spread"
@@ -30,6 +31,12 @@
 	s.control.post(func(now time.Time) { s.control.send(s.control.members.Receive(now, m)) })
 }
 
+// peerFailed logs why a connection to another VM ended.
+func (s *Server) peerFailed(address string, err error) {
+	s.stats.Count("peer_connections_failed")
+	s.log.Log(event.PeerConnectionFailed).Str("peer", address).Err(err).Send()
+}
+
 // tellSuspicion sends a quarantine message to one VM or to all.
 func (s *Server) tellSuspicion(m quarantine.Message) {
 	for id, address := range s.peerAddresses() {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -106,7 +106,7 @@
 	s.running, s.cancel = ctx, cancel
 	s.control = newControl(ctx, s, time.Now())
 	s.peers = wire.New(peers, wire.Config{
-		VM: cfg.VM, Address: cfg.PeerAddress, Secret: []byte(cfg.FleetSecret), Receive: s.receive, Respond: s.respond,
+		VM: cfg.VM, Address: cfg.PeerAddress, Secret: []byte(cfg.FleetSecret), Receive: s.receive, Respond: s.respond, Failed: s.peerFailed,
 	})
 	s.http = s.newHTTP(callers)
 	return s, nil
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -53,6 +53,7 @@
 	defer cancel()
 	answer, err := call.run(run)
 	if err != nil {
+		call.logUnknown(err)
 		return s.refuse(c, err)
 	}
 	s.succeed(c, "status "+http.StatusText(answer.Status))
@@ -62,6 +63,15 @@
 	return nil
 }
 
+// logUnknown logs a confirmation whose outcome is not known: a person may have to
+// ask the service's owner.
+func (c *serviceCall) logUnknown(err error) {
+	code := result.From(err).Code
+	if !c.view.Route.Repeatable && (code == result.UpstreamUnknown || code == result.ClaimUnknown) {
+		c.server.log.Log(event.ClaimUnknown).Str("request", string(c.id)).Str("route", string(c.route)).Send()
+	}
+}
+
 // newServiceCall checks the route, the body and the idempotency key.
 func (s *Server) newServiceCall(w http.ResponseWriter, r *http.Request, c *caller, id fleet.RouteID) (*serviceCall, error) {
 	view := s.directory().route(c.team, c.rank, id)
