Let only newly started VMs ask for few lacking members at once

Cause: with a patience for all, 150 nodes over TCP did not complete their views within a minute, because equal counts of different sets ended it again; and 5 s are shorter than a restart's news take, so each restart cost 2.4 MB. Change: a VM started within two minutes asks at once, others after 20 s.

--- a/cmd/capacity/events.go
+++ b/cmd/capacity/events.go
@@ -12,6 +12,9 @@
 // rackNodes is the number of VMs in a rack: a tenth of a data centre of 178.
 const rackNodes = 18
 
+// settleTime is longer than membership treats a VM as newly started.
+const settleTime = 3 * time.Minute
+
 // incident is something that happens to a fleet.
 type incident struct {
 	name   string
@@ -49,7 +52,7 @@
 	c := fleettest.New(fleettest.Layout{Regions: 1, DataCentresPerZone: 3, Nodes: regionNodes}, seed)
 	c.StartAll(2 * time.Second)
 	c.RunUntil(2*time.Minute, c.FullViews)
-	c.Run(30 * time.Second)
+	c.Run(settleTime)
 	fmt.Printf("\nIncidents in one region of %d VMs, virtual time (bytes sent by all VMs, TCP headers included):\n", regionNodes)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "incident\tKB beyond the usual\tlargest VM, KB in its worst second\tviews right after\t")
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -68,7 +68,7 @@
 	// pullFraction and pullPatience limit these requests to members that gossip
 	// did not bring. Without them a restart of one of 178 VMs cost 2.5 MB.
 	pullFraction = 16
-	pullPatience = 5 * time.Second
+	pullPatience = 20 * time.Second
 
 	// MaxLoad is the largest opaque payload in bytes.
 	MaxLoad = 64
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -172,8 +172,8 @@
 }
 
 // pull asks a member that knows more members than this VM for the next page of
-// them: at once when many are lacking, after pullPatience when few are, because
-// these are mostly news on their way.
+// them: at once when it started lately or lacks many, after pullPatience when it
+// lacks few, because these are mostly news on their way.
 func (m *Machine) pull(from Member, live uint32) {
 	own := m.liveCount()
 	if live == own {
@@ -182,7 +182,7 @@
 	if live <= own || m.now.Before(m.nextPull) {
 		return
 	}
-	if live-own <= own/pullFraction {
+	if live-own <= own/pullFraction && m.now.Sub(m.began) > startTime {
 		if m.lackingSince.IsZero() {
 			m.lackingSince = m.now
 		}
