Split the large files by concern

Change: the published view, the replica's actions and proposals, the runner's claims and the session's messages have files of their own; code only moved. Result: pkg/replica, pkg/pipeline, pkg/confirm pass.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -15,8 +15,6 @@
 	"github.com/cornelline/cornelline/pkg/outlier"
 	"github.com/cornelline/cornelline/pkg/placement"
 	"github.com/cornelline/cornelline/pkg/platform"
-	"github.com/cornelline/cornelline/pkg/quarantine"
-	"github.com/cornelline/cornelline/pkg/route"
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
 
@@ -32,64 +30,6 @@
 // controlQueue is the number of events that may wait for the control goroutine.
 const controlQueue = 4096
 
-// fleetView is what request goroutines read. It is immutable but for the
-// counters in route.Load.
-type fleetView struct {
-	routes  *route.Snapshot
-	engines map[fleet.UpstreamID]upstream.Engine
-	members membership.View
-	// expected is each engine's expected time for one token.
-	expected  map[fleet.UpstreamID]time.Duration
-	upstreams []upstreamStatus
-}
-
-// upstreamStatus is one upstream as GET /v1/status shows it.
-type upstreamStatus struct {
-	Upstream fleet.UpstreamID   `json:"upstream"`
-	Kind     string             `json:"kind"`
-	Address  string             `json:"address"`
-	Model    fleet.ModelID      `json:"model,omitempty"`
-	Layers   string             `json:"layers,omitempty"`
-	Ready    bool               `json:"ready"`
-	Leaving  bool               `json:"leaving"`
-	Ejected  bool               `json:"ejected"`
-	Weight   float64            `json:"weight"`
-	Own      int                `json:"in_flight_here"`
-	Queue    float64            `json:"queue_estimate"`
-	Epoch    uint64             `json:"epoch,omitempty"`
-	DC       fleet.DataCentreID `json:"data_centre"`
-	load     *route.Load
-	// incarnation is the engine's, as last reported.
-	incarnation string
-}
-
-// current returns the status with the load of this moment.
-func (s upstreamStatus) current() upstreamStatus {
-	s.Own, s.Queue = s.load.Own(), s.load.Queue()
-	return s
-}
-
-// crashOf names the crash of an upstream by the incarnation that ended.
-func (v *fleetView) crashOf(id fleet.UpstreamID) quarantine.CrashID {
-	crash := quarantine.CrashID{Upstream: id}
-	for _, u := range v.upstreams {
-		if u.Upstream == id {
-			crash.Incarnation = u.incarnation
-		}
-	}
-	return crash
-}
-
-// ejected reports whether the view shows the upstream as ejected.
-func (v *fleetView) ejected(id fleet.UpstreamID) bool {
-	for _, u := range v.upstreams {
-		if u.Upstream == id {
-			return u.Ejected
-		}
-	}
-	return false
-}
-
 // control owns all control state. Its fields are touched by the goroutine of
 // run only, except for events and view.
 type control struct {
@@ -415,97 +355,6 @@
 	})
 }
 
-// publish makes a new view when something changed.
-func (c *control) publish(time.Time) {
-	members := c.members.View()
-	old := c.view.Load()
-	if old != nil && !c.dirty {
-		next := *old
-		next.members = members
-		c.view.Store(&next)
-		return
-	}
-	c.dirty = false
-	c.detector.SetMembers(c.duties())
-	next := &fleetView{members: members, engines: map[fleet.UpstreamID]upstream.Engine{}, expected: map[fleet.UpstreamID]time.Duration{}}
-	in := route.Input{Self: c.server.cfg.DataCentre, Models: c.models(), Links: c.links()}
-	for id, condition := range c.conditions {
-		ejected, weight := c.detector.Ejected(id), c.detector.Weight(id)
-		next.upstreams = append(next.upstreams, c.status(condition, ejected, weight))
-		if condition.isEngine() {
-			in.Engines = append(in.Engines, condition.routeEngine(ejected, weight))
-			next.engines[id] = condition.engine
-			next.expected[id] = condition.stageTime()
-		}
-	}
-	in.Servers = c.servers()
-	sortEngines(in.Engines)
-	sortStatus(next.upstreams)
-	next.routes = route.Build(in)
-	c.view.Store(next)
-}
-
-// duties returns what each upstream serves, for the caps of outlier detection.
-func (c *control) duties() []outlier.Member {
-	d := c.server.directory()
-	var list []outlier.Member
-	for id, condition := range c.conditions {
-		if !condition.isEngine() {
-			continue
-		}
-		a := condition.state.Assignment
-		layers := 0
-		if view, ok := d.model(a.Model); ok {
-			layers = int(view.Model.Layers)
-		}
-		list = append(list, outlier.Member{ID: id, Model: a.Model, Layers: a.Layers, ModelLayers: layers})
-	}
-	for _, server := range c.servers() {
-		list = append(list, outlier.Member{ID: server.ID, Route: server.Route})
-	}
-	return list
-}
-
-func (c *control) models() []route.Model {
-	d := c.server.directory()
-	var list []route.Model
-	for _, id := range d.models {
-		view, _ := d.model(id)
-		list = append(list, route.Model{ID: id, Version: view.Model.Version, Layers: int(view.Model.Layers), Block: upstream.PrefixBlock})
-	}
-	return list
-}
-
-// links returns the links between data centres in both directions.
-func (c *control) links() []route.Link {
-	d := c.server.directory()
-	var list []route.Link
-	for dc, region := range d.tree.DataCentres() {
-		scope := d.scope
-		scope.Region, scope.DataCentre = region, dc
-		for to, link := range d.tree.Effective(scope).Links {
-			list = append(list, route.Link{From: dc, To: to, Time: link.Latency})
-		}
-	}
-	return list
-}
-
-// servers returns the servers of all routes.
-func (c *control) servers() []route.Server {
-	d := c.server.directory()
-	var list []route.Server
-	for _, id := range d.routes {
-		for _, name := range d.route("", fleet.Lookup, id).Route.Upstreams {
-			condition, ok := c.conditions[fleet.UpstreamID(name)]
-			if !ok {
-				continue
-			}
-			list = append(list, condition.routeServer(id, c.detector.Ejected(condition.id), c.detector.Weight(condition.id)))
-		}
-	}
-	return list
-}
-
 // setCapacities tells admission this VM's share of each model's pipelines.
 func (c *control) setCapacities(now time.Time) {
 	fraction := c.share(now)
@@ -554,15 +403,3 @@
 	}
 	return slices.Min(perLayer)
 }
-
-func (c *control) status(u *condition, ejected bool, weight float64) upstreamStatus {
-	s := upstreamStatus{
-		Upstream: u.id, Kind: u.view.Upstream.Kind, Address: u.address, DC: fleet.DataCentreID(u.view.Upstream.DataCentre),
-		Ready: !u.isEngine() || u.reported && !u.state.Loading, Leaving: u.leaving(), Ejected: ejected, Weight: weight,
-		Epoch: u.state.Epoch, Model: u.state.Assignment.Model, load: u.load, incarnation: u.state.Incarnation,
-	}
-	if u.isEngine() {
-		s.Layers = u.state.Assignment.Layers.String()
-	}
-	return s
-}
--- /dev/null
+++ b/pkg/replica/runner_claims.go
@@ -0,0 +1,164 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/claim"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/record"
+	"github.com/cornelline/cornelline/pkg/result"
+)
+
+// claimUnavailable refuses a call with a key while the register cannot be read.
+// This attempt was not sent, but an earlier one with the same key may have run
+// through another VM, so "not run" would be a false statement about the call.
+func claimUnavailable(detail string) *result.Error {
+	e := unavailable(detail + "; whether an earlier call with the key ran is not known")
+	e.Outcome = result.OutcomeUnknown
+	return e
+}
+
+// ClaimRequest asks for the right to send one non-repeatable call.
+type ClaimRequest struct {
+	Team  fleet.TeamID
+	Route fleet.RouteID
+	// Key is the caller's idempotency key.
+	Key string
+	// Body is the SHA-256 hash of the request body.
+	Body [32]byte
+}
+
+// Decision is the answer to a claim.
+type Decision struct {
+	// Claim is the identity of the valid claim when Replay is nil: its holder may send once.
+	Claim record.ID
+	// Replay is the recorded outcome of an earlier call with the same key and body.
+	Replay *record.Done
+}
+
+// Claim claims a key and waits until the claim is read back as valid. With an
+// error nothing was sent under this request and nothing may be. The error is a *result.Error.
+func (r *Runner) Claim(ctx context.Context, req ClaimRequest) (Decision, error) {
+	key, err := claim.ParseKey(req.Key)
+	if err != nil {
+		return Decision{}, result.New(result.InvalidHeader, result.NotRun, "the idempotency key must be a version 7 UUID").WithCause(err)
+	}
+	c := &record.Claim{Team: req.Team, Route: req.Route, Key: key, BodyHash: req.Body, Holder: r.cfg.VM}
+	id := r.cfg.NewID()
+	refused := claimUnavailable("nothing was claimed")
+	var info claim.Info
+	o := r.propose(ctx, record.Record{ID: id, Kind: record.KindClaim, Claim: c}, func(now time.Time) bool {
+		info, refused = r.lookup(c, now)
+		return refused == nil && info.Status == claim.Free
+	})
+	switch {
+	case refused != nil:
+		return Decision{}, refused
+	case info.Status == claim.Finished:
+		return r.replay(ctx, info.DoneOffset)
+	case !o.decided:
+		return Decision{}, claimUnavailable("the claim was given up before anything was sent")
+	case o.verdict.Valid():
+		return Decision{Claim: id}, nil
+	case o.verdict.Reason == Expired:
+		return Decision{}, keyExpired()
+	}
+	return r.lost(ctx, c)
+}
+
+// lost answers a claim that another one came before.
+func (r *Runner) lost(ctx context.Context, c *record.Claim) (Decision, error) {
+	refused := claimUnavailable("nothing was claimed")
+	var info claim.Info
+	r.do(ctx, func(now time.Time) []Action {
+		info, refused = r.lookup(c, now)
+		return nil
+	})
+	if refused == nil && info.Status == claim.Finished {
+		return r.replay(ctx, info.DoneOffset)
+	}
+	if refused == nil {
+		refused = claimUnavailable("the other claim was forgotten meanwhile")
+	}
+	return Decision{}, refused
+}
+
+// keyExpired says unknown, because an earlier call with the key may have run.
+func keyExpired() *result.Error {
+	return result.New(result.KeyExpired, result.OutcomeUnknown, "the idempotency key is older than claims.window; an earlier call with it may have run")
+}
+
+// lookup returns the state of a key, and the error for the caller unless the key
+// is free or its call has finished. It runs in the runner's goroutine.
+func (r *Runner) lookup(c *record.Claim, now time.Time) (claim.Info, *result.Error) {
+	keyTime, _ := claim.KeyTime(c.Key)
+	info := r.replica.Lookup(c)
+	switch {
+	case keyTime.After(now.Add(maxKeyAhead)):
+		return info, result.New(result.InvalidHeader, result.NotRun, "the idempotency key's time is in the future")
+	case now.Sub(keyTime) > r.replica.p.Window, info.Status == claim.Forgotten:
+		return info, keyExpired()
+	case info.Status == claim.Reused:
+		return info, result.New(result.KeyReused, result.NotRun, "the idempotency key was used with another body")
+	case info.Status == claim.Abandoned:
+		return info, result.New(result.ClaimAbandoned, result.NotRun, "an earlier call with the key was given up before it was sent; use a new key")
+	case info.Status == claim.Pending:
+		return info, r.pendingError(info, now)
+	case info.Status == claim.Free && !r.replica.LogUp():
+		return info, claimUnavailable("nothing was claimed")
+	}
+	return info, nil
+}
+
+// pendingError tells apart a claim in progress and one whose holder is gone.
+func (r *Runner) pendingError(info claim.Info, now time.Time) *result.Error {
+	gone := r.cfg.HolderGone != nil && r.cfg.HolderGone(info.Holder)
+	if gone || now.Sub(info.Since) > r.cfg.PendingLimit {
+		return result.New(result.ClaimUnknown, result.OutcomeUnknown, "the holder of the claim recorded no outcome; the call may have run")
+	}
+	return result.New(result.ClaimInProgress, result.OutcomeUnknown, "a call with this key is in progress").WithRetryAfter(progressRetryAfter)
+}
+
+// replay reads the done record of a finished claim.
+func (r *Runner) replay(ctx context.Context, offset uint64) (Decision, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	batch, err := r.cfg.Log.Read(call, r.cfg.Stream, offset, 1)
+	if err == nil && len(batch.Records) > 0 && batch.Records[0].Offset == offset {
+		rec, err := record.Decode(batch.Records[0].Data)
+		if err == nil && rec.Kind == record.KindDone {
+			return Decision{Replay: rec.Done}, nil
+		}
+	}
+	return Decision{}, result.New(result.LogUnavailable, result.Ran, "the call ran, its recorded answer could not be read").
+		WithRetryAfter(outageRetryAfter).WithCause(err)
+}
+
+// Abandon gives up a granted claim whose call was certainly not sent. Nothing
+// may be sent under it afterwards.
+func (r *Runner) Abandon(claimID record.ID) {
+	r.do(context.Background(), func(now time.Time) []Action { return r.replica.Abandon(claimID, now) })
+}
+
+// Done records the outcome of a claimed call and waits until it is read back, at
+// most until ctx ends. The record is appended even when ctx has ended.
+func (r *Runner) Done(ctx context.Context, done record.Done) error {
+	id := r.cfg.NewID()
+	data, err := record.Encode(record.Record{ID: id, Kind: record.KindDone, Done: &done})
+	if err != nil {
+		return err
+	}
+	answer := make(chan outcome, 1)
+	r.do(context.Background(), func(now time.Time) []Action {
+		r.waiters[id] = answer
+		return r.replica.Propose(id, data, now)
+	})
+	select {
+	case <-answer:
+		return nil
+	case <-r.stopped:
+	case <-ctx.Done():
+	}
+	return unavailable("the outcome is not recorded yet")
+}
