Test a second stop order and a leaving engine against the daemon

Change: TestJoinDuringOutageThenPlannedStop gives two stop orders, TestLeavingEngineGetsNothingNew counts the positions that the engine runs. Result: both pass; with the wait for the drain under way taken out the first fails, with the leaving flag taken out of path choice the second fails.

--- a/pkg/entry/stop_test.go
+++ b/pkg/entry/stop_test.go
@@ -42,7 +42,8 @@
 
 	got := streamVia(f.VMs[spare].Address, "a long stream during a planned stop", 150, func(n int) {
 		if n == 3 {
-			stop()
+			is.Equal(f.send(spare, http.MethodPost, "/v1/drain", testbed.OperatorKey, nil, nil).status, http.StatusAccepted)
+			stop() // a second stop order must not cut the drain short
 			waitFor(t, func() bool { return !strings.Contains(f.addresses(spare), "vm-spare") })
 			late := f.send(spare, http.MethodPost, "/v1/chat/completions", testbed.TeamKey, nil, testbed.ChatBody("late", 3, false))
 			is.Equal(late.status, http.StatusOK) // the address is still valid
@@ -54,6 +55,26 @@
 	waitFor(t, func() bool { return !strings.Contains(f.addresses(0), "vm-spare") })
 }
 
+// TestLeavingEngineGetsNothingNew guards I5 through the engine's own report: the
+// platform's list of upstreams lags.
+func TestLeavingEngineGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	shared.faults(t, "engine-1", standin.Faults{Leaving: true})
+	for vm := range shared.VMs {
+		waitFor(t, func() bool {
+			return strings.Contains(string(shared.get(vm, "/v1/status", testbed.OperatorKey).body), `"leaving":true`)
+		})
+	}
+	engine := shared.group.Parts["engine-1"].(*standin.Engine)
+	before := engine.PositionsRun()
+	for i := range 12 {
+		prompt := fmt.Sprintf("Stock of batch %d", i)
+		a := shared.send(i%len(shared.VMs), http.MethodPost, "/v1/chat/completions", testbed.TeamKey, nil, testbed.ChatBody(prompt, 3, false))
+		is.Equal(a.status, http.StatusOK)
+	}
+	is.Equal(engine.PositionsRun(), before)
+}
+
 // TestAloneDuringOutageIsNotReady guards against a VM that starts without log and
 // peers and serves with settings that may be old.
 func TestAloneDuringOutageIsNotReady(t *testing.T) {
