--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -165,7 +165,15 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return fmt.Errorf("%d nodes did not find each other within a minute", len(fleet))
+	lowest, incomplete := len(fleet), 0
+	for _, n := range fleet {
+		known := int(n.members.Load())
+		lowest = min(lowest, known)
+		if known != len(fleet) {
+			incomplete++
+		}
+	}
+	return fmt.Errorf("%d of %d nodes do not know all others after a minute; the fewest known are %d", incomplete, len(fleet), lowest)
 }
 
 // phase measures a time of work.
