--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 test:
 	$(GO) test ./...
 
-# capacity measures the control plane's cost on this machine in about two
+# capacity measures the control plane's cost on this machine in two to three
 # minutes; docs/CAPACITY.md quotes its tables.
 capacity:
 	$(GO) run ./cmd/capacity --seed $(SEED)
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -50,6 +50,9 @@
 	// RelayStale is the age after which a data centre's relay is not relied on to
 	// speak for its region.
 	RelayStale = 45 * time.Second
+	// relayDelay is how long after its start a VM is no relay: it would speak for
+	// its data centre before it knows its members.
+	relayDelay = 10 * time.Second
 	// RelayCount is the number of relays in each data centre.
 	RelayCount = 2
 
--- a/pkg/membership/relay.go
+++ b/pkg/membership/relay.go
@@ -13,6 +13,9 @@
 // sendSummaries runs a relay's round: the own data centre's summary to the
 // other data centres of the region, and as the region's relay to the other regions.
 func (m *Machine) sendSummaries() {
+	if m.now.Sub(m.began) < relayDelay {
+		return
+	}
 	relays := m.Relays()
 	position := slices.IndexFunc(relays, func(c Contact) bool { return c.ID == m.self.ID })
 	if position < 0 {
