--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	$(GO) build -o bin/ ./cmd/...
 	./bin/demo
 
-# capacity measures the control plane's cost on this machine in about two
+# capacity measures the control plane's cost on this machine in two to three
 # minutes; docs/CAPACITY.md quotes its tables.
 capacity:
 	$(GO) run ./cmd/capacity --seed $(SEED)
