Give every setting the effect that it documents

The lease stays a constant: VMs read a change at different times, and one with a shorter period would take over while the holder still acts. - retry.* and outlier.* by team or upstream, and admission.* by upstream, are no longer accepted: the daemon reads them for its own place only.

--- a/pkg/entry/directory.go
+++ b/pkg/entry/directory.go
@@ -118,10 +118,14 @@
 // defaultDeadline returns the deadline of a request that names none.
 func (d *directory) defaultDeadline(team fleet.TeamID, rank fleet.Rank, arrived time.Time) time.Time {
 	view := d.request(team, rank, "")
+	deadline := arrived.Add(view.Rank.DefaultDeadline)
 	if rank != fleet.Overnight {
-		return arrived.Add(view.Rank.DefaultDeadline)
+		return deadline
 	}
-	return nextDawn(view.Overnight, arrived)
+	if dawn := nextDawn(view.Overnight, arrived); dawn.Before(deadline) {
+		return dawn
+	}
+	return deadline
 }
 
 // nextDawn returns the next time of day by which overnight work is due.
--- a/pkg/entry/placer.go
+++ b/pkg/entry/placer.go
@@ -93,6 +93,7 @@
 
 // configure tells the owner of changed hardware and models.
 func (p *placer) configure(now time.Time, d *directory) {
+	p.owner.SetReadBack(d.local.Placement.ReadBack)
 	p.handle(now, placement.InputChanged{Input: placementInput(d)})
 }
 
--- a/pkg/entry/policy.go
+++ b/pkg/entry/policy.go
@@ -6,6 +6,7 @@
 	"github.com/cornelline/cornelline/pkg/admission"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/outlier"
+	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/route"
 	"github.com/cornelline/cornelline/pkg/settings"
 )
@@ -13,8 +14,10 @@
 // admissionConfig returns the admission limits in force.
 func admissionConfig(d *directory) admission.Config {
 	cfg := admission.DefaultConfig()
-	cfg.Depth = float64(d.local.Admission.Depth)
+	cfg.Depth = d.local.Admission.Depth
 	cfg.Headroom = d.local.Admission.Headroom
+	cfg.TeamBurst = d.local.Admission.TeamBurst
+	cfg.Safety = d.local.Admission.Safety
 	cfg.Weights = make(map[fleet.TeamID]float64, len(d.teams))
 	for _, id := range d.teams {
 		cfg.Weights[id] = d.team(id).Team.Weight
@@ -22,6 +25,7 @@
 	for r := range cfg.Shares {
 		view := d.rank(fleet.Rank(r))
 		cfg.Shares[r] = view.Rank.GuaranteedShare
+		cfg.MaxWait[r] = view.Admission.MaxWait
 		cfg.MaxQueued[r] = int(view.Limits.Queue)
 	}
 	return cfg
@@ -40,6 +44,15 @@
 	return cfg
 }
 
+// quarantineConfig returns the limits of the quarantine in force.
+func quarantineConfig(view *settings.View) quarantine.Config {
+	cfg := quarantine.DefaultConfig()
+	cfg.SuspectFor = view.Quarantine.Suspicion
+	cfg.RefuseFor = view.Quarantine.Duration
+	cfg.MaxSuspects = int(view.Quarantine.Entries)
+	return cfg
+}
+
 // mayUse reports whether a team may use a model.
 func (d *directory) mayUse(team fleet.TeamID, model fleet.ModelID) bool {
 	allowed := d.team(team).Team.AllowedModels
--- a/pkg/entry/runner.go
+++ b/pkg/entry/runner.go
@@ -9,8 +9,10 @@
 )
 
 // pendingClaimLimit is the age at which a claim without an outcome counts as
-// unknown. It exceeds the default route timeout of 5 s by the time of two log calls.
-const pendingClaimLimit = 15 * time.Second
+// unknown. It exceeds the longest route timeout by the usual time of its log calls:
+// otherwise the claim of a call that still runs could be given up, and a repeat
+// of the key would be told that the outcome is unknown.
+const pendingClaimLimit = settings.MaxRouteTimeout + 15*time.Second
 
 // snapshotJitterMax spreads the VMs' snapshots, so that the first one to write
 // has been read by the others before they would write their own.
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -98,7 +98,7 @@
 		lengths:  newLengths(),
 	}
 	s.suspects = newSuspects(quarantine.DefaultConfig(), cfg.VM, s.tellSuspicion)
-	s.client = &http.Client{Transport: &rehearsal.Transport{Base: newTransport(), Injector: s.injector}}
+	s.client = &http.Client{Transport: &rehearsal.Transport{Base: newTransport(s.connectTimeout), Injector: s.injector}}
 	s.services = newServiceClients(s.client)
 	s.connectPlatform()
 	s.current.Store(newDirectory(settings.Empty(), s.self))
@@ -177,6 +177,7 @@
 	s.current.Store(d)
 	s.gate.setConfig(admissionConfig(d))
 	s.setRetryConfig(d)
+	s.suspects.setConfig(quarantineConfig(d.local))
 	s.settings.Reconfigure(ctx, replica.ParametersOf(d.local))
 	s.claims.Reconfigure(ctx, replica.ParametersOf(d.local))
 	for id, view := range d.upstreams {
@@ -191,6 +192,11 @@
 // fleetView returns the control goroutine's current view.
 func (s *Server) fleetView() *fleetView { return s.control.view.Load() }
 
+// connectTimeout returns the longest wait for a connection in force.
+func (s *Server) connectTimeout() time.Duration {
+	return s.directory().local.Upstreams.ConnectTimeout
+}
+
 // connectPlatform makes the clients of the platform's services.
 func (s *Server) connectPlatform() {
 	s.injector.Bind(hostOf(s.cfg.LogURL), rehearsal.LogTarget)
@@ -228,10 +234,12 @@
 }
 
 // newTransport returns the transport for upstreams and platform. Compression is
-// off because token streams must not be buffered.
-func newTransport() *http.Transport {
+// off because token streams must not be buffered. A dial asks for its timeout.
+func newTransport(timeout func() time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: timeout()}).DialContext(ctx, network, address)
+		},
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleConnectionTime,
 		DisableCompression:  true,
@@ -239,8 +247,6 @@
 }
 
 const (
-	// connectTimeout is a thousand times today's round trip between data centres.
-	connectTimeout     = time.Second
 	idleConnections    = 64
 	idleConnectionTime = 30 * time.Second
 )
--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -88,6 +88,13 @@
 	})
 }
 
+// setConfig puts changed limits in force.
+func (q *suspects) setConfig(cfg quarantine.Config) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker.SetConfig(cfg)
+}
+
 // step runs one event of the tracker and delivers the actions that follow.
 func (q *suspects) step(event func(time.Time) []quarantine.Action) {
 	q.mu.Lock()
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -21,7 +21,9 @@
 	Resource string
 	// NewID returns identities of lease records.
 	NewID func() record.ID
-	// LeasePeriod is how long a lease record counts.
+	// LeasePeriod is how long a lease record counts. All VMs must use the same
+	// one: a VM with a shorter one would take over while the holder still acts.
+	// That is why it is no setting, which VMs read at different times.
 	LeasePeriod time.Duration
 	// TakeoverDelay is how much longer than LeasePeriod this VM waits before it
 	// takes a free lease. It differs between VMs, so that one append suffices.
@@ -117,6 +119,9 @@
 // Leave stops the Owner from renewing or taking the lease, for a planned stop.
 func (o *Owner) Leave() { o.leaving = true }
 
+// SetReadBack replaces the interval between state reads of an engine.
+func (o *Owner) SetReadBack(d time.Duration) { o.config.ReadBack = d }
+
 // Handle applies an event and returns what is to be done.
 func (o *Owner) Handle(now time.Time, e Event) []Action {
 	o.actions = nil
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -155,6 +155,9 @@
 	return &Tracker{cfg: cfg, self: self, vms: []fleet.VMID{self}, running: make(map[fleet.RequestID]*running)}
 }
 
+// SetConfig replaces the limits. Quarantines in force keep their end.
+func (t *Tracker) SetConfig(cfg Config) { t.cfg = cfg }
+
 // SetVMs replaces the live VMs, among them self. Owners change with them, so no
 // permit is granted until the holders had time to renew with the new owner.
 func (t *Tracker) SetVMs(now time.Time, vms []fleet.VMID) {
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -49,25 +49,9 @@
 			return err
 		}
 	}
-	for _, id := range t.Upstreams() {
-		if err := t.checkOverrides(k, id); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
-// checkOverrides tests the rules for an upstream that sets its own ejection times.
-func (t *Tree) checkOverrides(k branchKey, id fleet.UpstreamID) *CheckError {
-	b := t.live(branchKey{LevelUpstream, string(id), ""})
-	_, first := b.vals["outlier.ejection"]
-	_, longest := b.vals["outlier.ejection_max"]
-	if !first && !longest {
-		return nil
-	}
-	return checkView(k, t.Effective(Scope{DataCentre: fleet.DataCentreID(b.text("data_centre")), Upstream: id}))
-}
-
 // scopesBelow returns the scopes of the places that k can affect.
 func (t *Tree) scopesBelow(k branchKey) []Scope {
 	scopes := []Scope{{}}
@@ -91,10 +75,6 @@
 		return failed(k, "claims.window", "%s is not shorter than log.retention (%s)", v.Claims.Window, v.Log.Retention)
 	case v.Drain.Max < v.Address.ValidFor:
 		return failed(k, "drain.max", "%s is shorter than address.valid_for (%s)", v.Drain.Max, v.Address.ValidFor)
-	case v.Placement.ReadBack >= v.Placement.Lease:
-		return failed(k, "placement.read_back", "%s is not shorter than placement.lease (%s)", v.Placement.ReadBack, v.Placement.Lease)
-	case v.Membership.PingTimeout >= v.Membership.Ping:
-		return failed(k, "membership.ping_timeout", "%s is not shorter than membership.ping (%s)", v.Membership.PingTimeout, v.Membership.Ping)
 	case v.Outlier.Ejection > v.Outlier.EjectionMax:
 		return failed(k, "outlier.ejection", "%s is longer than outlier.ejection_max (%s)", v.Outlier.Ejection, v.Outlier.EjectionMax)
 	}
@@ -217,5 +197,5 @@
 	if memory, _ := b.vals["memory_bytes"].(int64); b.text("kind") == KindEngine && memory <= 0 {
 		return failed(k, "memory_bytes", "an engine needs a memory size")
 	}
-	return t.checkOverrides(k, fleet.UpstreamID(k.a))
+	return nil
 }
--- a/pkg/settings/view.go
+++ b/pkg/settings/view.go
@@ -30,8 +30,6 @@
 	Outlier    Outlier
 	Quarantine Quarantine
 	Placement  Placement
-	Membership Membership
-	Spread     Spread
 	Rehearsal  Rehearsal
 	// Links are the links of the scope's data centre by the other end.
 	Links map[fleet.DataCentreID]Link
@@ -71,7 +69,6 @@
 type Rank struct {
 	DefaultDeadline time.Duration `setting:"default_deadline"`
 	GuaranteedShare float64       `setting:"guaranteed_share"`
-	Worth           float64       `setting:"worth"`
 }
 
 // Overnight says when overnight work is due.
@@ -138,8 +135,11 @@
 
 // Admission holds the parameters of admission.
 type Admission struct {
-	Headroom float64 `setting:"admission.headroom"`
-	Depth    int64   `setting:"admission.depth"`
+	MaxWait   time.Duration `setting:"admission.max_wait"`
+	Depth     float64       `setting:"admission.depth"`
+	Headroom  float64       `setting:"admission.headroom"`
+	TeamBurst time.Duration `setting:"admission.team_burst"`
+	Safety    float64       `setting:"admission.safety"`
 }
 
 // Retry holds the retry budget.
@@ -151,9 +151,7 @@
 // Outlier holds the parameters of outlier detection.
 type Outlier struct {
 	ConsecutiveFailures int64         `setting:"outlier.consecutive_failures"`
-	FailureShare        float64       `setting:"outlier.failure_share"`
 	MinRequests         int64         `setting:"outlier.min_requests"`
-	Window              time.Duration `setting:"outlier.window"`
 	SlowFactor          float64       `setting:"outlier.slow_factor"`
 	Ejection            time.Duration `setting:"outlier.ejection"`
 	EjectionMax         time.Duration `setting:"outlier.ejection_max"`
@@ -163,35 +161,15 @@
 
 // Quarantine holds the parameters for requests suspected of crashing upstreams.
 type Quarantine struct {
-	Crashes    int64         `setting:"quarantine.crashes"`
-	Duration   time.Duration `setting:"quarantine.duration"`
-	Similarity float64       `setting:"quarantine.similarity"`
-	Entries    int64         `setting:"quarantine.entries"`
+	Suspicion time.Duration `setting:"quarantine.suspicion"`
+	Duration  time.Duration `setting:"quarantine.duration"`
+	Entries   int64         `setting:"quarantine.entries"`
 }
 
 // Placement holds the parameters of the placement of layers.
 type Placement struct {
-	Interval   time.Duration `setting:"placement.interval"`
-	Lease      time.Duration `setting:"placement.lease"`
-	ReadBack   time.Duration `setting:"placement.read_back"`
-	KVReserve  float64       `setting:"placement.kv_reserve"`
-	MaxLoading float64       `setting:"placement.max_loading"`
-}
-
-// Membership holds the parameters of the membership of entry VMs.
-type Membership struct {
-	Ping        time.Duration `setting:"membership.ping"`
-	PingTimeout time.Duration `setting:"membership.ping_timeout"`
-	Indirect    int64         `setting:"membership.indirect"`
-	Suspicion   time.Duration `setting:"membership.suspicion"`
-	Summary     time.Duration `setting:"membership.summary"`
-	Relays      int64         `setting:"membership.relays"`
-}
-
-// Spread holds the parameters of the relay of settings between VMs.
-type Spread struct {
-	FanOut  int64 `setting:"spread.fan_out"`
-	Readers int64 `setting:"spread.readers"`
+	ReadBack  time.Duration `setting:"placement.read_back"`
+	KVReserve float64       `setting:"placement.kv_reserve"`
 }
 
 // Rehearsal bounds rehearsed faults.
