Exit with 4 when the answer to a change is lost

settings set exited with 1 (failed) when the connection broke or no answer came within 15 s, although the change could have been made; a script could not tell this from a refusal. Now a request other than GET that got a connection and no complete answer of the daemon exits with 4, also after a 5xx answer without a numbered error, as a proxy gives. Without a connection nothing was sent: 1.

The 15 s limit itself is not waited for; it takes the same path as the interrupt.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -116,6 +116,10 @@
 		return ExitUsage
 	}
 	fmt.Fprintln(errOut, "cornelline:", err)
+	var unknown *unknownError
+	if errors.As(err, &unknown) {
+		return ExitUnknown
+	}
 	var e *result.Error
 	if !errors.As(err, &e) {
 		return ExitFailed
--- /dev/null
+++ b/pkg/cli/cli_test.go
@@ -0,0 +1,105 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// drop closes the connection of a request without an answer.
+func drop(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// answer answers with a status and a body.
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+// cutOff promises more of an answer than it sends.
+func cutOff(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte(`{"version":`))
+}
+
+// TestExitCodes guards against scripts that take a change of unknown outcome for
+// a failed one and send it again, and against the reverse.
+func TestExitCodes(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, []byte(`{}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	set := "settings set --version 1 team/t " + file
+	for _, c := range []struct {
+		name, args string
+		handler    http.HandlerFunc // nil: nothing listens
+		want       int
+	}{
+		{"set done", set, answer(200, `{"version":2}`), ExitOK},
+		{"help", "--help", nil, ExitOK},
+		{"set refused", set, answer(400, `{"error":{"code":5001,"outcome":"not_run"}}`), ExitFailed},
+		{"set refused by another server", set, answer(404, "none"), ExitFailed},
+		{"set with log unavailable", set, answer(503, `{"error":{"code":4001,"outcome":"not_run"}}`), ExitFailed},
+		{"set without a listener", set, nil, ExitFailed},
+		{"set of a file that is not there", set + ".none", nil, ExitFailed},
+		{"get dropped", "settings get team/t", drop, ExitFailed},
+		{"get cut off", "settings get team/t", cutOff, ExitFailed},
+		{"unknown flag", set + " --force", nil, ExitUsage},
+		{"no branch", "settings set", nil, ExitUsage},
+		{"no such command", "settings put", nil, ExitUsage},
+		{"set lost", set, answer(409, `{"error":{"code":5002,"outcome":"not_run"}}`), ExitConflict},
+		{"set pending", set, answer(504, `{"error":{"code":5004,"outcome":"outcome_unknown"}}`), ExitUnknown},
+		{"set dropped", set, drop, ExitUnknown},
+		{"remove dropped", "settings set --remove --version 1 team/t", drop, ExitUnknown},
+		{"set cut off", set, cutOff, ExitUnknown},
+		{"set answered by a proxy", set, answer(502, "bad gateway"), ExitUnknown},
+		{"drain dropped", "drain", drop, ExitUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			if c.handler == nil {
+				server.Close()
+			}
+			got, text := run(t.Context(), server, c.args)
+			t.Log(text)
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// TestExitCodeWithoutAnswer guards against a change reported as failed when the
+// wait for its answer ends: by the time limit or, as here, by an interrupt.
+func TestExitCodeWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	got, _ := run(ctx, server, "settings set --remove --version 1 team/t")
+	is.Equal(got, ExitUnknown)
+}
+
+// run executes a command line against the server.
+func run(ctx context.Context, server *httptest.Server, args string) (int, string) {
+	var out, errOut bytes.Buffer
+	address := strings.TrimPrefix(server.URL, "http://")
+	code := Run(ctx, append([]string{"--address", address}, strings.Fields(args)...), &out, &errOut)
+	return code, out.String() + errOut.String()
+}
--- a/pkg/cli/client.go
+++ b/pkg/cli/client.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/chat"
@@ -16,9 +18,29 @@
 // up to the daemon's own 10 s limit.
 const callTimeout = 15 * time.Second
 
-// call sends a request to the entry VM and returns the answer's body.
+// unknownError is a failure after which a change may or may not have been made.
+type unknownError struct{ err error }
+
+func (e *unknownError) Error() string {
+	return "it is not known whether the change was made: " + e.err.Error()
+}
+
+func (e *unknownError) Unwrap() error { return e.err }
+
+// call sends a request to the entry VM and returns the answer's body. When a
+// request for a change may have been sent and its answer is lost, the error is
+// an *unknownError.
 func (c *command) call(method, path string, header http.Header, body []byte) ([]byte, error) {
-	req, err := http.NewRequestWithContext(c.ctx, method, "http://"+c.shared.Address+path, bytes.NewReader(body))
+	sent := false
+	failed := func(err error) error {
+		if sent && method != http.MethodGet {
+			return &unknownError{err}
+		}
+		return err
+	}
+	// Without a connection nothing was sent; with one, part of the request may be.
+	ctx := httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.shared.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
@@ -31,17 +53,23 @@
 	client := http.Client{Timeout: callTimeout}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("entry VM %s: %w", c.shared.Address, err)
+		return nil, failed(fmt.Errorf("entry VM %s: %w", c.shared.Address, err))
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return nil, fmt.Errorf("read answer: %w", err)
+		return nil, failed(fmt.Errorf("read answer: %w", err))
+	}
+	if resp.StatusCode < http.StatusBadRequest {
+		return data, nil
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, decodeError(resp.StatusCode, data)
+	err = decodeError(resp.StatusCode, data)
+	var numbered *result.Error
+	if resp.StatusCode >= http.StatusInternalServerError && !errors.As(err, &numbered) {
+		// Not the daemon's own answer, so it says nothing about the change.
+		return nil, failed(err)
 	}
-	return data, nil
+	return nil, err
 }
 
 // decodeError returns the numbered error in an answer.
