Bound placement.read_back; let lower quarantine limits act at once

Two effects of the settings connected before: - placement.read_back was accepted up to 9s. A failing engine is read again after a quarter of it, and counts as lost after failing for 2s, so above 8s one failed read can lose an engine. It is now 500ms to 5s. - A lower quarantine.entries dropped one old suspicion for each new one, so the tracker kept its former size. It now drops down to the limit.

TestChangedLimits lowers the limits of a running tracker.

--- a/pkg/entry/policy_test.go
+++ b/pkg/entry/policy_test.go
@@ -53,6 +53,7 @@
 	d := directoryWith(t,
 		[2]string{"fleet", `{"admission":{"depth":0.5,"headroom":0.3,"team_burst":"7s","safety":3},"limits":{"queue":5},
 			"outlier":{"consecutive_failures":4,"slow_factor":5,"min_requests":6,"max_ejected":0.4,"ejection":"8s","ejection_max":"9m","return_over":"11s"},
+			"placement":{"read_back":"3s"},"upstreams":{"connect_timeout":"4s"},
 			"quarantine":{"suspicion":"12m","duration":"13m","entries":14000}}`},
 		[2]string{"rank/lookup", `{"admission":{"max_wait":"15ms"},"guaranteed_share":0.16,"limits":{"queue":17}}`},
 	)
@@ -74,6 +75,11 @@
 	q := quarantine.DefaultConfig()
 	q.SuspectFor, q.RefuseFor, q.MaxSuspects = 12*time.Minute, 13*time.Minute, 14000
 	is.Equal(quarantineConfig(d.local), q)
+
+	s := &Server{}
+	s.current.Store(d)
+	is.Equal(s.connectTimeout(), 4*time.Second)
+	is.Equal(d.local.Placement.ReadBack, 3*time.Second)
 }
 
 // TestOvernightDeadline guards against a default deadline of overnight work that
--- a/pkg/placement/owner.go
+++ b/pkg/placement/owner.go
@@ -119,7 +119,9 @@
 // Leave stops the Owner from renewing or taking the lease, for a planned stop.
 func (o *Owner) Leave() { o.leaving = true }
 
-// SetReadBack replaces the interval between state reads of an engine.
+// SetReadBack replaces the interval between state reads of an engine. A failing
+// engine is read four times as often; that must be within LossConfirm, so that
+// one failed read alone loses no engine.
 func (o *Owner) SetReadBack(d time.Duration) { o.config.ReadBack = d }
 
 // Handle applies an event and returns what is to be done.
--- a/pkg/placement/owner_test.go
+++ b/pkg/placement/owner_test.go
@@ -259,3 +259,30 @@
 		}
 	}
 }
+
+// TestReadBackInterval guards against an interval, within the bounds of the
+// setting placement.read_back, with which one failed read loses an engine or
+// which has no effect.
+func TestReadBackInterval(t *testing.T) {
+	for _, interval := range []time.Duration{500 * time.Millisecond, 5 * time.Second} {
+		is := is.New(t)
+		s := newSim(small(), 1, 1e9)
+		is.True(s.run(time.Minute, s.settled))
+		o, id := s.vms[0].owner, s.in.Engines[0].ID
+		o.SetReadBack(interval)
+		is.True(s.run(2*interval, nil))
+
+		before := o.engines[id].askedAt
+		is.True(s.run(time.Minute, func() bool { return o.engines[id].askedAt.After(before) }))
+		before = o.engines[id].askedAt
+		is.True(s.run(time.Minute, func() bool { return o.engines[id].askedAt.After(before) }))
+		between := o.engines[id].askedAt.Sub(before)
+		is.True(between >= interval && between <= interval+4*simStep)
+
+		s.fail(id)
+		is.True(s.run(time.Minute, func() bool { return !o.engines[id].failingSince.IsZero() }))
+		s.back(id, false)
+		is.True(s.run(time.Minute, nil))
+		is.Equal(o.engines[id].losses, 0)
+	}
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -294,8 +294,8 @@
 		s := t.find(&prints[k])
 		if s == nil {
 			s = &suspect{print: prints[k]}
-			if len(t.suspects) >= t.cfg.MaxSuspects {
-				t.suspects = slices.Delete(t.suspects, 0, 1)
+			if over := len(t.suspects) - t.cfg.MaxSuspects + 1; over > 0 {
+				t.suspects = slices.Delete(t.suspects, 0, over)
 			}
 			t.suspects = append(t.suspects, s)
 		}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -225,3 +225,33 @@
 	tr.Tick(now, nil)
 	is.Equal(tr.Admit(now, "b", &f, nil)[0].Kind, quarantine.Allow)
 }
+
+// TestChangedLimits guards against a changed limit that has an effect only on a
+// tracker that starts with it.
+func TestChangedLimits(t *testing.T) {
+	is := is.New(t)
+	cfg := quarantine.DefaultConfig()
+	tr := quarantine.New(cfg, "vm0")
+	now := time.Unix(1e9, 0)
+	crash := func(i int) {
+		id, f := fleet.RequestID(fmt.Sprint(i)), quarantine.Of("t", "m", fmt.Appendf(nil, "prompt %c%c%c", 'a'+i, 'f'+i, 'k'+i))
+		tr.Admit(now, id, &f, nil)
+		tr.Started(now, id, &f, []fleet.UpstreamID{"e"})
+		tr.Crashed(now, quarantine.CrashID{Upstream: "e", Incarnation: fmt.Sprint(i)}, nil)
+		tr.Ended(now, id, false, nil)
+	}
+	for i := range 8 {
+		crash(i)
+	}
+	suspects, _ := tr.Suspects(now)
+	is.Equal(suspects, 8)
+	cfg.MaxSuspects, cfg.SuspectFor = 3, time.Minute
+	tr.SetConfig(cfg)
+	crash(8)
+	suspects, _ = tr.Suspects(now)
+	is.Equal(suspects, 3)
+	now = now.Add(time.Minute + time.Second)
+	tr.Tick(now, nil)
+	suspects, _ = tr.Suspects(now)
+	is.Equal(suspects, 0)
+}
--- a/pkg/settings/schema.go
+++ b/pkg/settings/schema.go
@@ -144,7 +144,7 @@
 	{Name: "quarantine.duration", Kind: KindDuration, Levels: places, Default: `"10m"`, Min: sec, Max: 24 * hour, Doc: "how long a fingerprint is refused"},
 	{Name: "quarantine.entries", Kind: KindInteger, Levels: places, Default: "4096", Min: 16, Max: 1e6, Doc: "most suspected fingerprints that a VM keeps"},
 
-	{Name: "placement.read_back", Kind: KindDuration, Levels: places, Default: `"2s"`, Min: 100 * ms, Max: 9 * sec, Doc: "time between two comparisons of an engine with its order; shorter than the ownership lease of 10s"},
+	{Name: "placement.read_back", Kind: KindDuration, Levels: places, Default: `"2s"`, Min: 500 * ms, Max: 5 * sec, Doc: "time between two comparisons of an engine with its order"},
 	{Name: "placement.kv_reserve", Kind: KindShare, Levels: with(LevelUpstream), Default: "0.2", Min: 0, Max: 0.9, Doc: "share of an engine's memory kept for KV cache"},
 
 	{Name: "rehearsal.allowed", Kind: KindBool, Levels: places, Default: "true", Doc: "whether faults may be rehearsed"},
