--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -157,6 +157,9 @@
 	return &Tracker{cfg: cfg, self: self, vms: []fleet.VMID{self}, running: make(map[fleet.RequestID]*running)}
 }
 
+// SetConfig replaces the limits. Quarantines in force keep their end.
+func (t *Tracker) SetConfig(cfg Config) { t.cfg = cfg }
+
 // SetVMs replaces the live VMs, among them self. Owners change with them, so no
 // permit is granted until the holders had time to renew with the new owner.
 func (t *Tracker) SetVMs(now time.Time, vms []fleet.VMID) {
@@ -293,8 +296,8 @@
 		s := t.find(&prints[k])
 		if s == nil {
 			s = &suspect{print: prints[k]}
-			if len(t.suspects) >= t.cfg.MaxSuspects {
-				t.suspects = slices.Delete(t.suspects, 0, 1)
+			if over := len(t.suspects) - t.cfg.MaxSuspects + 1; over > 0 {
+				t.suspects = slices.Delete(t.suspects, 0, over)
 			}
 			t.suspects = append(t.suspects, s)
 		}
