--- /dev/null
+++ b/pkg/cli/apply.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"reflect"
+	"strconv"
+
+	"github.com/cornelline/cornelline/pkg/result"
+)
+
+type settingsApplyCommand struct {
+	command
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"JSON object of branch paths and their overrides; - for standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute puts the branches of a file one by one, in the order in which they may
+// refer to each other. Branches that already have the value are left alone, so a
+// run that stopped half way can be repeated.
+func (c *settingsApplyCommand) Execute([]string) error {
+	data, err := readInput(c.Args.File)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	branches, err := DecodeBranches(data)
+	if err != nil {
+		return result.New(result.SettingsInvalid, result.NotRun, "%s: %v", c.Args.File, err)
+	}
+	changed := 0
+	for _, b := range branches {
+		done, err := c.apply(b)
+		if err != nil {
+			return fmt.Errorf("%s (%d branches changed before): %w", b.Path, changed, err)
+		}
+		if done {
+			changed++
+		}
+	}
+	_, err = fmt.Fprintf(c.out, "%d of %d branches changed\n", changed, len(branches))
+	return err
+}
+
+// apply puts one branch and reports whether that was needed.
+func (c *settingsApplyCommand) apply(b Branch) (bool, error) {
+	version, value, err := c.current(b.Path)
+	if err != nil {
+		return false, err
+	}
+	if value != nil && sameJSON(value, b.Value) {
+		return false, nil
+	}
+	header := http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(version, 10))}}
+	_, err = c.call(http.MethodPut, "/v1/settings/"+b.Path, header, b.Value)
+	return true, err
+}
+
+// current returns the branch's version and value; no value when there is no branch.
+func (c *settingsApplyCommand) current(path string) (uint64, json.RawMessage, error) {
+	data, err := c.call(http.MethodGet, "/v1/settings/"+path, nil, nil)
+	var e *result.Error
+	if errors.As(err, &e) && e.Code == result.UnknownBranch {
+		return 0, nil, nil
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	var branch struct {
+		Version uint64
+		Value   json.RawMessage
+	}
+	if err := json.Unmarshal(data, &branch); err != nil {
+		return 0, nil, fmt.Errorf("decode branch %s: %w", path, err)
+	}
+	return branch.Version, branch.Value, nil
+}
+
+// sameJSON compares two values regardless of blanks and the order of names.
+func sameJSON(a, b json.RawMessage) bool {
+	var x, y any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	return reflect.DeepEqual(x, y)
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -85,6 +85,7 @@
 	}{
 		{"get", "Show branches", "Shows one branch with its version, or lists all branches.", &settingsGetCommand{command: c}},
 		{"set", "Change a branch", "Replaces the overrides of a branch. It fails with exit code 3 when the branch has changed since --version.", &settingsSetCommand{command: c}},
+		{"apply", "Put a file of branches", "Puts the branches of a JSON file one by one and leaves those alone that already have the value.", &settingsApplyCommand{command: c}},
 		{"effective", "Show values in force", "Shows the values in force for a scope, each with the branch it comes from.", &settingsEffectiveCommand{command: c}},
 		{"history", "Show past changes", "Shows the changes that the log still holds, with their authors and whether they are valid.", &settingsHistoryCommand{command: c}},
 		{"check", "Check a file of settings", "Checks a JSON file of branches without changing anything.", &settingsCheckCommand{command: c}},
--- a/pkg/entry/caller_test.go
+++ b/pkg/entry/caller_test.go
@@ -180,6 +180,22 @@
 	is.Equal(result.From(err).Code, result.AddressInUse)
 }
 
+// TestExplanationSaysWhy guards against an explanation that names the chain but not
+// the reason, or that hides what was passed over.
+func TestExplanationSaysWhy(t *testing.T) {
+	is := is.New(t)
+	shared.faults(t, "engine-4", standin.Faults{Leaving: true})
+	waitFor(t, func() bool {
+		return strings.Contains(string(shared.get(0, "/v1/status", testbed.OperatorKey).body), `"leaving":true`)
+	})
+	done := shared.send(0, http.MethodPost, "/v1/chat/completions", testbed.TeamKey, nil, testbed.ChatBody("why", 2, false))
+	is.Equal(done.status, http.StatusOK)
+	explanation := string(shared.get(0, "/v1/requests/"+done.header.Get("Cornelline-Request-Id"), testbed.TeamKey).body)
+	for _, want := range []string{"admitted", "planned", "a token", "slots taken", "passed over: engine-4 leaving", "attempt", "first_token"} {
+		is.True(strings.Contains(explanation, want)) // the explanation holds the step or reason
+	}
+}
+
 // TestTeamsDoNotSeeEachOther guards against a key that reads another team's
 // request, explanation or counters.
 func TestTeamsDoNotSeeEachOther(t *testing.T) {
--- a/pkg/entry/planner.go
+++ b/pkg/entry/planner.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return nil, noChain(err)
 	}
+	p.g.note("planned", "", reasonFor(view, stages, need, p.prefix))
 	now := time.Now()
 	p.booked = stages
 	p.chain = p.chain[:0]
