--- a/pkg/cli/apply.go
+++ b/pkg/cli/apply.go
@@ -22,13 +22,9 @@
 // refer to each other. Branches that already have the value are left alone, so a
 // run that stopped half way can be repeated.
 func (c *settingsApplyCommand) Execute([]string) error {
-	data, err := readInput(c.Args.File)
+	branches, err := readBranches(c.Args.File)
 	if err != nil {
-		return fmt.Errorf("read settings: %w", err)
-	}
-	branches, err := DecodeBranches(data)
-	if err != nil {
-		return result.New(result.SettingsInvalid, result.NotRun, "%s: %v", c.Args.File, err)
+		return err
 	}
 	changed := 0
 	for _, b := range branches {
--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -20,13 +20,9 @@
 
 // Execute checks a file of branches against an empty tree.
 func (c *settingsCheckCommand) Execute([]string) error {
-	data, err := readInput(c.Args.File)
+	branches, err := readBranches(c.Args.File)
 	if err != nil {
-		return fmt.Errorf("read settings: %w", err)
-	}
-	branches, err := DecodeBranches(data)
-	if err != nil {
-		return result.New(result.SettingsInvalid, result.NotRun, "%s: %v", c.Args.File, err)
+		return err
 	}
 	tree := settings.Empty()
 	for i, b := range branches {
@@ -38,6 +34,19 @@
 	return err
 }
 
+// readBranches reads a settings file.
+func readBranches(path string) ([]Branch, error) {
+	data, err := readInput(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	branches, err := DecodeBranches(data)
+	if err != nil {
+		return nil, result.New(result.SettingsInvalid, result.NotRun, "%s: %v", path, err)
+	}
+	return branches, nil
+}
+
 // Branch is one branch of a settings file.
 type Branch struct {
 	Path  string
