Look teams, keys and upstreams up in the tree's own index

Cause: the daemon's directory built maps of team keys, operators, models and routes from a sorted dump of the tree, which the settings tree already indexes; the control goroutine copied the membership view several times a tick and once a load report, although it is published; contextWithTimeout only wrapped context.WithTimeout. Change: the directory keeps the tree and the resolved upstreams; control reads the published members; the wrapper is gone.

--- a/pkg/entry/caller.go
+++ b/pkg/entry/caller.go
@@ -47,7 +47,7 @@
 
 // authenticate returns the team whose key the request carries.
 func (s *Server) authenticate(r *http.Request) (fleet.TeamID, error) {
-	team, ok := s.directory().teamByKey[bearerHash(r)]
+	team, ok := s.directory().tree.TeamByKeyHash(bearerHash(r))
 	if !ok {
 		return "", result.New(result.Unauthenticated, result.NotRun, "no valid team key in the Authorization header")
 	}
@@ -60,11 +60,11 @@
 	if hash == "" {
 		return false
 	}
-	operators := s.directory().operators
-	if len(operators) == 0 {
+	d := s.directory()
+	if len(d.local.Operators.KeyHashes) == 0 {
 		return hash == s.cfg.OperatorKeyHash
 	}
-	return operators[hash]
+	return d.tree.IsOperatorKeyHash(hash)
 }
 
 // identify authenticates the request and reads its headers. target names what
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -118,7 +118,7 @@
 func (c *control) shareOffset() {
 	view := c.server.settings.View()
 	c.members.SetLocal(membership.Local{Offset: view.Offset, Load: encodeDemand(c.server.gate.demand())})
-	highest := c.members.View().Highest
+	highest := c.view.Load().members.Highest
 	if highest <= view.Highest || c.told >= highest {
 		return
 	}
@@ -320,7 +320,7 @@
 
 // otherVMs returns the number of other live entry VMs in the fleet.
 func (c *control) otherVMs() int {
-	view := c.members.View()
+	view := c.view.Load().members
 	n := len(view.Members)
 	for _, dc := range view.DataCentres {
 		if dc.DataCentre != c.server.cfg.DomainID() {
@@ -332,7 +332,7 @@
 
 // vmIDs returns the entry VMs known here, this one included.
 func (c *control) vmIDs() []fleet.VMID {
-	view := c.members.View()
+	view := c.view.Load().members
 	ids := []fleet.VMID{c.server.cfg.VM}
 	for _, m := range view.Members {
 		ids = append(ids, m.ID)
@@ -387,7 +387,7 @@
 // share returns this VM's part of the slots by the demands that the VMs of its
 // domain tell each other; VMs of other domains count evenly.
 func (c *control) share(now time.Time) float64 {
-	view := c.members.View()
+	view := c.view.Load().members
 	live := []fleet.VMID{c.server.cfg.VM}
 	c.shares.Heard(now, c.server.cfg.VM, c.server.gate.demand())
 	for _, m := range view.Members {
--- a/pkg/entry/directory.go
+++ b/pkg/entry/directory.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"sort"
-	"strings"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
@@ -12,63 +10,31 @@
 // directory is what request goroutines look up in the settings. It is immutable
 // and made anew when the settings tree changes.
 type directory struct {
-	tree       *settings.Tree
-	scope      settings.Scope
-	local      *settings.View
-	teamByKey  map[string]fleet.TeamID
-	operators  map[string]bool
-	teams      []fleet.TeamID
-	models     []fleet.ModelID
-	routes     []fleet.RouteID
-	upstreams  map[fleet.UpstreamID]*settings.View
-	engines    []fleet.UpstreamID
-	dataCentre fleet.DataCentreID
+	tree      *settings.Tree
+	scope     settings.Scope
+	local     *settings.View
+	models    []fleet.ModelID
+	routes    []fleet.RouteID
+	upstreams map[fleet.UpstreamID]*settings.View
+	engines   []fleet.UpstreamID
 }
 
 // newDirectory compiles the tree for a VM of the given region and data centre.
 func newDirectory(tree *settings.Tree, self fleet.VM) *directory {
 	d := &directory{
-		tree:       tree,
-		scope:      settings.Scope{Region: self.Region, DataCentre: self.DataCentre},
-		teamByKey:  map[string]fleet.TeamID{},
-		operators:  map[string]bool{},
-		upstreams:  map[fleet.UpstreamID]*settings.View{},
-		dataCentre: self.DataCentre,
+		tree:      tree,
+		scope:     settings.Scope{Region: self.Region, DataCentre: self.DataCentre},
+		models:    tree.Models(),
+		routes:    tree.Routes(),
+		upstreams: map[fleet.UpstreamID]*settings.View{},
 	}
 	d.local = tree.Effective(d.scope)
-	for _, hash := range d.local.Operators.KeyHashes {
-		d.operators[hash] = true
+	for _, id := range tree.Upstreams() {
+		d.addUpstream(id)
 	}
-	for _, saved := range tree.Save() {
-		if saved.Value != nil {
-			d.add(saved.Branch)
-		}
-	}
-	sort.Slice(d.engines, func(a, b int) bool { return d.engines[a] < d.engines[b] })
 	return d
 }
 
-// add enters a branch that names a team, model, route or upstream.
-func (d *directory) add(branch string) {
-	kind, name, ok := strings.Cut(branch, "/")
-	if !ok || strings.Contains(name, "/") {
-		return
-	}
-	switch kind {
-	case "team":
-		d.teams = append(d.teams, fleet.TeamID(name))
-		for _, hash := range d.team(fleet.TeamID(name)).Team.KeyHashes {
-			d.teamByKey[hash] = fleet.TeamID(name)
-		}
-	case "model":
-		d.models = append(d.models, fleet.ModelID(name))
-	case "route":
-		d.routes = append(d.routes, fleet.RouteID(name))
-	case "upstream":
-		d.addUpstream(fleet.UpstreamID(name))
-	}
-}
-
 func (d *directory) addUpstream(id fleet.UpstreamID) {
 	scope := d.scope
 	scope.Upstream = id
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -94,7 +94,7 @@
 		return result.New(result.InvalidHeader, result.NotRun, "If-Match: want the version of the branch that the change builds on, 0 for a new one")
 	}
 	change := record.Settings{Branch: ctx.Vars().Get("branch"), Base: base, Value: value, Author: s.authorOf(r)}
-	waiting, cancel := contextWithTimeout(r, proposeTimeout)
+	waiting, cancel := context.WithTimeout(r.Context(), proposeTimeout)
 	defer cancel()
 	version, err := s.settings.ProposeSettings(waiting, change)
 	if err != nil {
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -134,8 +134,3 @@
 	}
 	return ctx.JSON(http.StatusOK, changes)
 }
-
-// contextWithTimeout returns the request's context with a time limit.
-func contextWithTimeout(r *http.Request, d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(r.Context(), d)
-}
--- a/pkg/entry/policy.go
+++ b/pkg/entry/policy.go
@@ -18,8 +18,9 @@
 	cfg.Headroom = d.local.Admission.Headroom
 	cfg.TeamBurst = d.local.Admission.TeamBurst
 	cfg.Safety = d.local.Admission.Safety
-	cfg.Weights = make(map[fleet.TeamID]float64, len(d.teams))
-	for _, id := range d.teams {
+	teams := d.tree.Teams()
+	cfg.Weights = make(map[fleet.TeamID]float64, len(teams))
+	for _, id := range teams {
 		cfg.Weights[id] = d.team(id).Team.Weight
 	}
 	for r := range cfg.Shares {
