--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -61,6 +61,7 @@
 		data              any
 	}{
 		{"serve", "Run an entry VM", "Runs the entry daemon until it is told to stop; a stop drains first.", &serveCommand{command: c}},
+		{"gateway", "Run an entry VM on the users' platform", "Runs the entry daemon on the platform that its settings file describes, until it is told to stop; a stop drains first.", &gatewayCommand{command: c}},
 		{"address", "Show which entry VMs to use", "Asks an entry VM which addresses callers may use and for how long they may keep the answer.", &addressCommand{command: c}},
 		{"status", "Show the state of an entry VM", "Shows settings version, members, upstreams, queues and active rehearsals.", &statusCommand{command: c}},
 		{"explain", "Explain a request", "Shows where a request went, why, and what was tried, refused and retried.", &explainCommand{command: c}},
--- /dev/null
+++ b/pkg/cli/gateway.go
@@ -0,0 +1,57 @@
+package cli
+
+import (
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/gateway"
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/platform"
+)
+
+type gatewayCommand struct {
+	command
+	Settings string `long:"settings" value-name:"FILE" description:"the platform's settings file; the default is what CORNELLINE_NODE_FILE names"`
+	Check    bool   `long:"check" description:"check the settings and end"`
+}
+
+// memoryShare is the part of the platform's memory limit at which the garbage
+// collector works harder; the rest is for stacks, buffers of the kernel and peaks.
+const memoryShare = 0.6
+
+// Execute runs the entry daemon on the users' platform.
+func (c *gatewayCommand) Execute([]string) error {
+	path := c.Settings
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return result.New(result.ConfigInvalid, result.NotRun, "%v", err)
+	}
+	if c.Check {
+		return nil
+	}
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
+	}
+	output := event.NewWriter(os.Stdout)
+	log := event.New(output, string(settings.Self.ID), zerolog.InfoLevel)
+	g, err := gateway.New(settings, log, output)
+	if err != nil {
+		log.Log(event.StartFailed).Int("code", int(result.From(err).Code)).Err(err).Send()
+		output.Close()
+		return err
+	}
+	ctx, stop := signal.NotifyContext(c.ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go g.Reload(ctx, reload, func() (platform.Settings, error) { return platform.LoadSettings(path) })
+	return g.Run(ctx)
+}
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -10,6 +10,8 @@
 	DrainEnded       ID = 104
 	StartFailed      ID = 105
 	TransportWarning ID = 106
+	LinesDropped     ID = 107
+	Reloaded         ID = 108
 )
 
 // Request events.
@@ -17,6 +19,14 @@
 	RequestDone    ID = 201
 	RequestRefused ID = 202
 	RequestFailed  ID = 203
+	// The following are decisions about a request on the users' platform.
+	RequestCancelled ID = 204
+	RequestQueued    ID = 205
+	RequestSent      ID = 206
+	RequestRetried   ID = 207
+	RetryDenied      ID = 208
+	ChainRefused     ID = 209
+	StreamBroken     ID = 210
 )
 
 // Pipeline events.
@@ -35,6 +45,9 @@
 	SnapshotWritten  ID = 405
 	SnapshotMismatch ID = 406
 	ClaimUnknown     ID = 407
+	ConfigInForce    ID = 408
+	ConfigRejected   ID = 409
+	EntryRejected    ID = 410
 )
 
 // Placement events.
@@ -46,6 +59,7 @@
 	PlacementOrderFailed ID = 605
 	PlacementEngineLost  ID = 606
 	PlacementBlocked     ID = 607
+	PlacementOrdered     ID = 608
 )
 
 // Membership and spread events.
@@ -72,6 +86,23 @@
 	RequestRefused: {"request_refused", zerolog.InfoLevel},
 	RequestFailed:  {"request_failed", zerolog.WarnLevel},
 
+	RequestCancelled: {"request_cancelled", zerolog.InfoLevel},
+	RequestQueued:    {"request_queued", zerolog.InfoLevel},
+	RequestSent:      {"request_sent", zerolog.InfoLevel},
+	RequestRetried:   {"request_retried", zerolog.InfoLevel},
+	RetryDenied:      {"retry_denied", zerolog.InfoLevel},
+	ChainRefused:     {"chain_refused", zerolog.InfoLevel},
+	StreamBroken:     {"stream_broken", zerolog.WarnLevel},
+
+	LinesDropped:     {"lines_dropped", zerolog.WarnLevel},
+	Reloaded:         {"settings_reloaded", zerolog.InfoLevel},
+	ConfigInForce:    {"config_in_force", zerolog.InfoLevel},
+	ConfigRejected:   {"config_rejected", zerolog.ErrorLevel},
+	EntryRejected:    {"upstream_entry_rejected", zerolog.WarnLevel},
+	UpstreamChanged:  {"upstream_changed", zerolog.InfoLevel},
+	UpstreamSlow:     {"upstream_slow", zerolog.InfoLevel},
+	PlacementOrdered: {"placement_ordered", zerolog.InfoLevel},
+
 	AttemptStarted: {"attempt_started", zerolog.DebugLevel},
 	AttemptFailed:  {"attempt_failed", zerolog.WarnLevel},
 	TokenDropped:   {"token_dropped", zerolog.WarnLevel},
--- a/pkg/event/events_fleet.go
+++ b/pkg/event/events_fleet.go
@@ -4,6 +4,8 @@
 const (
 	UpstreamEjected  ID = 701
 	UpstreamReturned ID = 702
+	UpstreamChanged  ID = 703
+	UpstreamSlow     ID = 704
 )
 
 // Rehearsal events.
--- /dev/null
+++ b/pkg/gateway/control.go
@@ -0,0 +1,356 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/catalog"
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/exchange"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/outlier"
+	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/platform"
+)
+
+// controlTick is the interval of the control goroutine's own work. Stalled
+// streams are found within it, and membership wants about 100 ms.
+const controlTick = 100 * time.Millisecond
+
+// controlQueue bounds the events that wait for the control goroutine. A flood of
+// failures posts a few for each request in flight.
+const controlQueue = 4096
+
+// control is the state that one goroutine owns.
+type control struct {
+	g      *Gateway
+	events chan func(now time.Time)
+
+	roster   *roster.Roster
+	health   *outlier.Detector
+	members  *membership.Machine
+	catalog  *catalog.Catalog
+	config   []byte // as it stands in the store
+	gates    map[catalog.ServiceID]*gate
+	peers    map[fleet.VMID]*peerState
+	slow     map[fleet.UpstreamID]float64
+	layers   map[fleet.UpstreamID]heldLayers
+	dirty    bool
+	fetching bool // a configuration is on its way from another VM
+	listed   bool // the list of upstreams was read once
+	storeUp  bool
+	storeBad time.Time
+	sequence uint64
+	toldAt   time.Time
+	prunedAt time.Time
+	progress map[fleet.UpstreamID]time.Time
+}
+
+// heldLayers are the layers that an engine itself reported, newer than its entry
+// in the store.
+type heldLayers struct {
+	layers fleet.LayerRange
+	born   time.Time
+	until  time.Time
+}
+
+// reportedFor is how long an engine's own report goes before its entry in the
+// store, which is renewed with each heartbeat and read with a lag.
+const reportedFor = 3 * time.Second
+
+func newControl(g *Gateway) *control {
+	self := g.settings.Self
+	now := time.Now()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &control{
+		g: g, events: make(chan func(time.Time), controlQueue),
+		roster: roster.New(), health: outlier.New(healthConfig()),
+		members: membership.New(membership.Config{
+			Self: self, Incarnation: uint64(now.UnixMilli()), Domain: fleet.DataCentreID(self.Region), Seeds: g.settings.Seeds,
+		}, now, random),
+		gates: make(map[catalog.ServiceID]*gate), peers: make(map[fleet.VMID]*peerState),
+		slow: make(map[fleet.UpstreamID]float64), layers: make(map[fleet.UpstreamID]heldLayers),
+		storeUp: true, progress: make(map[fleet.UpstreamID]time.Time),
+	}
+}
+
+// healthConfig returns the limits of failure detection. Engines in one layer
+// range have no peers to compare with, so that latency is not judged here.
+func healthConfig() outlier.Config {
+	c := outlier.DefaultConfig()
+	c.BaseEjection = time.Second
+	c.MaxEjection = 4 * time.Second // entries in the store follow a lost upstream within seconds
+	c.Ramp = 2 * time.Second
+	c.ProbeTimeout = 350 * time.Millisecond
+	c.LatencyFactor = 1e9
+	return c
+}
+
+// post hands an event to the control goroutine. An event that does not fit is
+// dropped and counted: the state that it would have changed is found again by
+// the next one of its kind.
+func (c *control) post(f func(now time.Time)) {
+	select {
+	case c.events <- f:
+	default:
+		c.g.stats.Count("control_events_dropped")
+	}
+}
+
+// run owns the state until ctx ends.
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.events:
+			now := time.Now()
+			f(now)
+			for range len(c.events) { // one publication for all that waits
+				(<-c.events)(now)
+			}
+		case <-ticker.C:
+			c.tick(time.Now())
+		}
+		if c.dirty {
+			c.publish(time.Now())
+		}
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.upstreamsChanged(now, c.roster.Tick(now, nil))
+	c.act(now, c.health.Tick(now, nil))
+	c.send(c.members.Tick(now))
+	c.sweep(now)
+	c.tellPeers(now)
+	c.forgetPeers(now)
+	for _, gate := range c.gates {
+		gate.tick(now)
+	}
+	if now.Sub(c.prunedAt) >= time.Second {
+		c.prunedAt = now
+		c.g.pool.Prune()
+	}
+}
+
+// configRead takes in a configuration from the store or from another VM.
+func (c *control) configRead(data []byte, source string) {
+	compiled, err := platform.DecodeConfig(data)
+	if err != nil {
+		c.g.stats.Count("config_rejected")
+		c.g.log.Log(event.ConfigRejected).Str("source", source).Err(err).Send()
+		return
+	}
+	c.post(func(now time.Time) {
+		// A version never goes back, whoever offers it.
+		if c.catalog != nil && compiled.Version <= c.catalog.Version {
+			return
+		}
+		c.catalog, c.config, c.dirty = compiled, data, true
+		c.g.log.Log(event.ConfigInForce).Uint64("version", compiled.Version).Str("source", source).Send()
+		c.publish(now)
+	})
+}
+
+// upstreamsChanged books changes of the list of upstreams.
+func (c *control) upstreamsChanged(now time.Time, changes []roster.Change) {
+	for _, change := range changes {
+		c.dirty = true
+		u := change.Upstream
+		c.g.log.Log(event.UpstreamChanged).Str("upstream", string(u.ID)).Str("service", string(u.Service)).
+			Str("address", u.Address).Str("reason", change.Why.String()).Stringer("layers", u.Layers).Send()
+		if change.Gone || change.Why == roster.Drains || change.Why == roster.Listed {
+			c.g.pool.CloseIdle(u.Address)
+		}
+		if change.Gone || change.Why == roster.Listed {
+			delete(c.slow, u.ID)
+			delete(c.layers, u.ID)
+			delete(c.progress, u.ID)
+		}
+		if change.Why == roster.Listed {
+			c.forgetHealth(u.ID)
+		}
+	}
+}
+
+// forgetHealth starts the health of a new incarnation afresh.
+func (c *control) forgetHealth(id fleet.UpstreamID) {
+	var others []roster.Upstream
+	for _, u := range c.roster.List() {
+		if u.ID != id {
+			others = append(others, u)
+		}
+	}
+	c.health.SetMembers(c.duties(others))
+}
+
+func (c *control) duties(list []roster.Upstream) []outlier.Member {
+	members := make([]outlier.Member, 0, len(list))
+	for _, u := range list {
+		members = append(members, c.duty(u))
+	}
+	return members
+}
+
+// duty describes what an upstream serves, for its comparison with others.
+func (c *control) duty(u roster.Upstream) outlier.Member {
+	m := outlier.Member{ID: u.ID, Route: fleet.RouteID(u.Service)}
+	if c.catalog == nil {
+		return m
+	}
+	if s := c.catalog.Services[u.Service]; s != nil && s.Engine != nil {
+		held := c.held(u)
+		m = outlier.Member{ID: u.ID, Model: fleet.ModelID(u.Service), Layers: held, ModelLayers: s.Engine.Layers}
+	}
+	return m
+}
+
+// held returns the layers of an engine: its own newer report before its entry.
+func (c *control) held(u roster.Upstream) fleet.LayerRange {
+	if h, ok := c.layers[u.ID]; ok && h.born.Equal(u.Born) && time.Now().Before(h.until) {
+		return h.layers
+	}
+	return u.Layers
+}
+
+// reported books an engine's own report.
+func (c *control) reported(now time.Time, id fleet.UpstreamID, r platform.Report) {
+	u, ok := c.roster.Get(id)
+	if !ok || !r.Born.IsZero() && !r.Born.Equal(u.Born) && r.Born.Before(u.Born) {
+		return
+	}
+	if r.Layers != c.held(u) {
+		c.layers[id] = heldLayers{layers: r.Layers, born: u.Born, until: now.Add(reportedFor)}
+		c.dirty = true
+	}
+	c.noteSlowness(id, r.Slowness)
+}
+
+// slowChange is the relative change of an engine's slowness that is worth a new view.
+const slowChange = 0.2
+
+func (c *control) noteSlowness(id fleet.UpstreamID, factor float64) {
+	factor = max(factor, 1)
+	old := max(c.slow[id], 1)
+	if factor > old*(1+slowChange) || factor < old/(1+slowChange) {
+		c.g.log.Log(event.UpstreamSlow).Str("upstream", string(id)).Float64("factor", factor).Float64("before", old).Send()
+		c.slow[id] = factor
+		c.dirty = true
+	}
+}
+
+// storeAnswered and storeFailed follow the store's health.
+func (c *control) storeAnswered() {
+	c.post(func(now time.Time) {
+		c.roster.StoreAnswered(now)
+		if !c.storeUp {
+			c.storeUp = true
+			c.g.log.Log(event.LogBack).Str("stream", "store").Int64("away_ms", now.Sub(c.storeBad).Milliseconds()).Send()
+		}
+	})
+}
+
+func (c *control) storeFailed(call string, err error) {
+	c.g.stats.Count("store_calls_failed", "call", call)
+	c.post(func(now time.Time) {
+		c.roster.StoreFailed(now)
+		if c.storeUp {
+			c.storeUp, c.storeBad = false, now
+			c.g.log.Log(event.LogUnavailable).Str("stream", "store").Str("call", call).Err(err).Send()
+		}
+	})
+}
+
+// act performs what failure detection decided.
+func (c *control) act(now time.Time, actions []outlier.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case outlier.Eject:
+			c.dirty = true
+			c.g.stats.Count("upstreams_ejected", "reason", a.Reason.String())
+			c.g.log.Log(event.UpstreamEjected).Str("upstream", string(a.Upstream)).Str("reason", a.Reason.String()).Send()
+			if u, ok := c.roster.Get(a.Upstream); ok {
+				c.g.pool.CloseIdle(u.Address)
+			}
+		case outlier.Return:
+			c.dirty = true
+			if a.Weight >= 1 || a.Weight <= firstWeight {
+				c.g.log.Log(event.UpstreamReturned).Str("upstream", string(a.Upstream)).Float64("weight", a.Weight).Send()
+			}
+		case outlier.Probe:
+			c.probe(a.Upstream)
+		case outlier.Spared:
+			c.g.stats.Count("upstreams_spared")
+		}
+	}
+}
+
+// firstWeight bounds the weight of an upstream at the start of its return.
+const firstWeight = 0.15
+
+// suspect asks for a probe of an upstream that does not make progress.
+func (c *control) suspect(id fleet.UpstreamID) {
+	c.post(func(now time.Time) { c.act(now, c.health.Silent(now, id, nil)) })
+}
+
+// refused books a refused connection.
+func (c *control) refused(id fleet.UpstreamID) {
+	c.post(func(now time.Time) { c.act(now, c.health.Refused(now, id, nil)) })
+}
+
+// failed books a failure of a request that was sent.
+func (c *control) failed(id fleet.UpstreamID) {
+	c.post(func(now time.Time) { c.act(now, c.health.Failed(now, id, nil)) })
+}
+
+// succeeded books an answer.
+func (c *control) succeeded(id fleet.UpstreamID, took time.Duration) {
+	c.post(func(now time.Time) { c.act(now, c.health.Succeeded(now, id, took, nil)) })
+}
+
+// probe asks an upstream over a new connection whether it is there.
+func (c *control) probe(id fleet.UpstreamID) {
+	u, ok := c.roster.Get(id)
+	if !ok || c.catalog == nil {
+		return
+	}
+	service := c.catalog.Services[u.Service]
+	if service == nil {
+		return
+	}
+	c.g.stats.Count("probes")
+	c.g.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(c.g.running, healthConfig().ProbeTimeout)
+		defer cancel()
+		if service.Engine == nil {
+			answered, healthy, err := c.g.servers.Health(ctx, u.Address, service.HealthPath)
+			c.post(func(now time.Time) {
+				c.probed(now, id, err, healthy && (answered == "" || answered == id))
+			})
+			return
+		}
+		report, err := c.g.servers.Report(ctx, u.Address)
+		c.post(func(now time.Time) {
+			if err == nil {
+				c.reported(now, id, report)
+			}
+			c.probed(now, id, err, true)
+		})
+	})
+}
+
+// probed books the end of a probe. A probe without an answer is left to the
+// detector's time limit.
+func (c *control) probed(now time.Time, id fleet.UpstreamID, err error, healthy bool) {
+	switch {
+	case err == nil:
+		c.act(now, c.health.Probed(now, id, healthy, nil))
+	case exchange.Refused(err):
+		c.act(now, c.health.Probed(now, id, false, nil))
+	}
+}
--- /dev/null
+++ b/pkg/gateway/gate.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/catalog"
+	"github.com/cornelline/cornelline/pkg/chain"
+	"github.com/cornelline/cornelline/pkg/dispatch"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/peering"
+)
+
+// gate lets generations of one service through. Request goroutines and the
+// control goroutine use it under its lock, for some tens of microseconds.
+type gate struct {
+	mu      sync.Mutex
+	book    *chain.Book
+	queue   *dispatch.Queue
+	waiting map[fleet.RequestID]chan dispatch.Action
+}
+
+func newGate(engine *catalog.Engine, local fleet.DataCentreID) *gate {
+	book := chain.New(engine, local)
+	return &gate{
+		book: book, queue: dispatch.New(dispatch.DefaultConfig(), book, random),
+		waiting: make(map[fleet.RequestID]chan dispatch.Action),
+	}
+}
+
+// update takes in the engines as the control goroutine sees them.
+func (g *gate) update(now time.Time, engine *catalog.Engine, servers []chain.Server, vms int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.SetEngine(engine)
+	g.book.SetVMs(vms)
+	g.book.SetServers(servers)
+	g.deliver(g.queue.Tick(now, nil))
+}
+
+func (g *gate) tick(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.queue.Tick(now, nil))
+}
+
+// enter waits until a request may start, is refused or ctx ends. The caller
+// releases a chain that it gets.
+func (g *gate) enter(ctx context.Context, r dispatch.Request) (dispatch.Action, error) {
+	answer := make(chan dispatch.Action, 1)
+	g.mu.Lock()
+	g.waiting[r.ID] = answer
+	g.deliver(g.queue.Arrive(time.Now(), r, nil))
+	g.mu.Unlock()
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	waited := g.queue.Cancel(r.ID)
+	delete(g.waiting, r.ID)
+	g.mu.Unlock()
+	if !waited { // decided meanwhile
+		return <-answer, nil
+	}
+	return dispatch.Action{}, ctx.Err()
+}
+
+// again reserves another chain for a request whose chain failed.
+func (g *gate) again(r dispatch.Request, avoid map[fleet.UpstreamID]bool) (*chain.Chain, chain.Failure) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Again(time.Now(), r, avoid)
+}
+
+// release ends a request's use of a chain and starts what waits for it.
+func (g *gate) release(r dispatch.Request, c *chain.Chain) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Release(r, c)
+	g.deliver(g.queue.Tick(time.Now(), nil))
+}
+
+// shortOfMemory notes an engine that refused a request for its memory.
+func (g *gate) shortOfMemory(id fleet.UpstreamID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.ShortOfMemory(time.Now(), id)
+}
+
+// deliver hands decisions to the requests that wait for them. Callers hold the lock.
+func (g *gate) deliver(actions []dispatch.Action) {
+	for _, a := range actions {
+		if answer := g.waiting[a.Request]; answer != nil {
+			delete(g.waiting, a.Request)
+			answer <- a
+		}
+	}
+}
+
+// promises returns what this VM has promised, for the other VMs.
+func (g *gate) promises(out []peering.Promise) []peering.Promise {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, load := range g.book.Own() {
+		out = append(out, peering.Promise{
+			Upstream: id, KV: uint32(load.KV), Requests: uint16(load.Requests), Tokens: uint32(load.Tokens),
+		})
+	}
+	return out
+}
+
+func (g *gate) setOthers(loads map[fleet.UpstreamID]chain.Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.SetOthers(loads)
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,226 @@
+// Package gateway is the entry daemon on the users' platform: it serves callers
+// over HTTP, follows the platform's store, and wires the decision packages to the
+// adapter, the upstreams and the other entry VMs.
+//
+// One goroutine owns the control state (control.go) and publishes an immutable
+// view; request goroutines read that view and never wait for control. Promises to
+// upstreams change with every request and stand behind short locks of their own.
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/exchange"
+	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/retry"
+	"github.com/cornelline/cornelline/pkg/stats"
+	"github.com/cornelline/cornelline/pkg/wire"
+	"github.com/cornelline/cornelline/platform"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection. A round trip takes 4 ms at
+	// most; a lost opening packet is sent again only after a second, so that a new
+	// try is faster than waiting.
+	connectTimeout = 400 * time.Millisecond
+	// unacknowledgedTimeout ends a connection whose sent bytes the other side does
+	// not acknowledge: several retransmissions on a link that loses packets.
+	unacknowledgedTimeout = 2 * time.Second
+	// keepIdle is how long an idle connection to an upstream is kept. Grown
+	// deployments drop idle ones without notice, so that old ones are a risk.
+	keepIdle = 4 * time.Second
+	// maxIdle bounds the idle connections to one upstream.
+	maxIdle = 32
+	// headTimeout bounds the time in which a caller sends a request's head while no
+	// configuration says otherwise.
+	headTimeout = 10 * time.Second
+	// idleTimeout is longer than any idle limit of a caller that the platform's
+	// configurations state, so that callers never meet a close of ours.
+	idleTimeout = 75 * time.Second
+	// maxHeaderBytes bounds a request's head above the limits that configurations state.
+	maxHeaderBytes = 64 << 10
+)
+
+// Gateway is one entry VM on the platform.
+type Gateway struct {
+	settings platform.Settings
+	log      *event.Logger
+	output   *event.Writer
+	stats    *stats.Stats
+	started  time.Time
+
+	store   *platform.Store
+	servers *platform.Servers
+	pool    *exchange.Pool
+	peers   *wire.Transport
+
+	control *control
+	view    atomic.Pointer[view]
+	stopper *stopper
+	streams *streams
+
+	// bounds are the platform's limits in force.
+	bounds atomic.Pointer[platform.Bounds]
+
+	// traffic is set by the first request of a caller.
+	traffic atomic.Bool
+
+	retryMu sync.Mutex
+	retries *retry.Budget
+
+	front, directory, ready *khttp.Server
+	running                 context.Context
+	cancel                  context.CancelFunc
+	tasks                   sync.WaitGroup
+}
+
+// New returns a gateway that listens on its addresses but does not serve yet.
+func New(settings platform.Settings, log *event.Logger, output *event.Writer) (*Gateway, error) {
+	dial := exchange.Dialer(connectTimeout, unacknowledgedTimeout)
+	g := &Gateway{
+		settings: settings, log: log, output: output, stats: stats.New(), started: time.Now(),
+		store: platform.NewStore(settings.Store.Address, dial), servers: platform.NewServers(dial),
+		stopper: newStopper(), streams: newStreams(),
+	}
+	g.pool = exchange.New(exchange.Config{
+		Dial: dial, KeepIdle: keepIdle, MaxIdle: maxIdle, Now: time.Now,
+		IsAnswer: isAnswer, IdleLimit: func(h http.Header) time.Duration { return platform.ParseReply(http.StatusOK, h).IdleLimit },
+	})
+	g.view.Store(emptyView())
+	g.bounds.Store(&settings.Bounds)
+	g.retries = retry.New(g.retryConfig(1))
+	g.running, g.cancel = context.WithCancel(context.Background())
+	g.control = newControl(g)
+	if err := g.listen(); err != nil {
+		g.cancel()
+		return nil, err
+	}
+	return g, nil
+}
+
+// listen opens the listeners and makes the servers on them.
+func (g *Gateway) listen() error {
+	inner, err := net.Listen("tcp", g.settings.Self.PeerAddress)
+	if err != nil {
+		return addressError(g.settings.Self.PeerAddress, err)
+	}
+	g.peers = wire.New(inner, wire.Config{
+		VM: g.settings.Self.ID, Address: g.settings.Self.PeerAddress, Secret: fleetSecret(g.settings),
+		Receive: g.receive, Respond: g.respond, Failed: g.peerFailed,
+	})
+	if g.front, err = g.newServer(g.settings.Self.Address, http.HandlerFunc(g.serveCaller)); err != nil {
+		return err
+	}
+	if g.ready, err = g.newServer(g.settings.ReadyAddress, http.HandlerFunc(g.serveReady)); err != nil {
+		return err
+	}
+	if g.settings.DirectoryAddress == "" {
+		return nil
+	}
+	g.directory, err = g.newServer(g.settings.DirectoryAddress, http.HandlerFunc(g.serveDirectory))
+	return err
+}
+
+// newServer returns an HTTP server of kratos whose requests all go to the
+// handler: a router before it would clean the paths that are passed on unchanged.
+func (g *Gateway) newServer(address string, handler http.Handler) (*khttp.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, addressError(address, err)
+	}
+	// Without an endpoint the library asks the system for its network interfaces,
+	// which the platform does not show.
+	endpoint := &url.URL{Scheme: "http", Host: address}
+	s := khttp.NewServer(khttp.Listener(listener), khttp.Endpoint(endpoint), khttp.Timeout(0),
+		khttp.Filter(func(http.Handler) http.Handler { return handler }))
+	s.ReadHeaderTimeout = headTimeout
+	s.IdleTimeout = idleTimeout
+	s.MaxHeaderBytes = maxHeaderBytes
+	s.ErrorLog = nil
+	return s, nil
+}
+
+func addressError(address string, err error) error {
+	return result.New(result.AddressInUse, result.NotRun, "cannot listen on %s", address).WithCause(err)
+}
+
+// fleetSecret derives what authenticates the entry VMs to each other. The
+// platform's settings have no secret: whoever knows the store's address counts
+// as part of the system, as it does for the store itself.
+func fleetSecret(s platform.Settings) []byte {
+	sum := sha256.Sum256([]byte("cornelline " + s.Store.Address))
+	return sum[:]
+}
+
+// isAnswer reports whether an answer belongs to a request: it echoes its id. A
+// failure that a server sends before it has read the id has none.
+func isAnswer(id string, status int, h http.Header) bool {
+	reply := platform.ParseReply(status, h)
+	return string(reply.ID) == id || reply.ID == "" && status >= http.StatusBadRequest
+}
+
+// Run serves until ctx ends, then drains and stops.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.log.Log(event.Started).Str("address", g.settings.Self.Address).
+		Str("data_centre", string(g.settings.Self.DataCentre)).Bool("first_start", g.settings.FirstStart).
+		Int("pid", os.Getpid()).Send()
+	failed := make(chan error, 3)
+	for _, s := range []*khttp.Server{g.front, g.ready, g.directory} {
+		if s == nil {
+			continue
+		}
+		g.tasks.Go(func() {
+			if err := s.Start(g.running); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serve: %w", err)
+			}
+		})
+	}
+	g.tasks.Go(func() { g.control.run(g.running) })
+	g.tasks.Go(func() { g.followConfig(g.running) })
+	g.tasks.Go(func() { g.followUpstreams(g.running) })
+	g.tasks.Go(func() { g.lead(g.running) })
+	var err error
+	select {
+	case <-ctx.Done():
+		g.drain()
+	case err = <-failed:
+	}
+	g.cancel()
+	_ = g.peers.Close() // the process ends: a listener that fails to close changes nothing
+	g.log.Log(event.Stopped).AnErr("reason", err).Send()
+	g.output.Close()
+	return err
+}
+
+// retryConfig returns this VM's part of the retry budget that all VMs share.
+func (g *Gateway) retryConfig(vms int) retry.Config {
+	b := g.bounds.Load()
+	slack := retrySafety * b.RetrySlack / float64(vms)
+	// Half of the slack is a burst, half accrues over the window: together they
+	// never exceed the slack in any window.
+	return retry.Config{Ratio: retrySafety * b.RetryRatio, Burst: slack / 2, MinPerSecond: slack / 2 / max(b.RetryWindow.Seconds(), 1)}
+}
+
+// retrySafety is the part of the budget that is used: the number of VMs is known
+// with a lag.
+const retrySafety = 0.8
+
+// random returns a number in [0, 1).
+func random() float64 { return rand.Float64() }
+
+// trafficSeen reports whether a caller has sent a request to this VM.
+func (g *Gateway) trafficSeen() bool { return g.traffic.Load() }
--- /dev/null
+++ b/pkg/gateway/lead.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/catalog"
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/layout"
+	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/platform"
+)
+
+const (
+	// leadGroup is the group whose member with the first partition gives orders.
+	leadGroup = "placement"
+	// leadPartition is that partition.
+	leadPartition = 0
+	// leadTTL is how long the leader is missed before another takes over, leadRenew
+	// the interval of renewals.
+	leadTTL   = 3 * time.Second
+	leadRenew = 1 * time.Second
+	// orderTimeout bounds a call to an engine.
+	orderTimeout = 600 * time.Millisecond
+	// orderInterval is the interval at which the leader looks at the engines.
+	orderInterval = 300 * time.Millisecond
+	// settleTime is how long the list of upstreams must stay the same before the
+	// first plan; firstPlanBy bounds the wait. Entries arrive over some seconds.
+	settleTime  = 1200 * time.Millisecond
+	firstPlanBy = 4 * time.Second
+	// orderWait is the time in which an order that was answered with "begun" or not
+	// at all must show before it is repeated. Orders may be carried out up to 12 s late.
+	orderWait = 2500 * time.Millisecond
+	// lostAfter is how long an engine must be dead before its layers are placed
+	// anew though its entry still stands.
+	lostAfter = 800 * time.Millisecond
+)
+
+// placed is what the leader knows of its orders to one engine.
+type placed struct {
+	born   time.Time
+	target fleet.LayerRange
+	// orders is the number of accepted orders that the engine reported before.
+	orders int
+	since  time.Time
+	// loadEnds is when the load of a begun order should have ended.
+	loadEnds time.Time
+}
+
+// leader gives orders to the engines while it holds the partition.
+type leader struct {
+	g          *Gateway
+	generation uint64
+	holds      bool
+	// until is when the membership ends unless it is renewed, on this VM's clock.
+	until  time.Time
+	fenced uint64 // generation that an engine refused
+	mu     sync.Mutex
+	orders map[fleet.UpstreamID]*placed
+	// first is set once the first plan was made.
+	planned   bool
+	listedAt  time.Time
+	changedAt time.Time
+	count     int
+	deadSince map[fleet.UpstreamID]time.Time
+	lastPlan  layout.Plan
+}
+
+// lead takes part in the choice of the leader and gives orders while this VM is it.
+func (g *Gateway) lead(ctx context.Context) {
+	l := &leader{g: g, orders: make(map[fleet.UpstreamID]*placed), deadSince: make(map[fleet.UpstreamID]time.Time)}
+	touched := false
+	var renewAt time.Time
+	for pause(ctx, orderInterval) {
+		if g.stopper.stopping() {
+			l.resign()
+			return
+		}
+		if v := g.view.Load(); v.catalog == nil || len(v.gates) == 0 {
+			continue
+		}
+		if now := time.Now(); !now.Before(renewAt) {
+			renewAt = now.Add(leadRenew)
+			l.renew(ctx, &touched)
+		}
+		if l.holds && time.Now().Before(l.until) && l.generation > l.fenced {
+			l.give(ctx)
+		}
+	}
+}
+
+// renew joins the group or stays in it.
+func (l *leader) renew(ctx context.Context, touched *bool) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if !*touched {
+		if err := l.g.store.Touch(ctx, platform.LeadTopic); err != nil {
+			l.g.control.storeFailed("touch", err)
+			return
+		}
+		*touched = true
+	}
+	began := time.Now()
+	ttl := max(leadTTL, l.g.settings.Store.MinMemberTTL)
+	m, err := l.g.store.Join(ctx, leadGroup, l.g.settings.Self.ID, ttl, l.generation)
+	if err != nil {
+		// While the store is away nobody can take over: the leader goes on, and the
+		// fencing token stops it if the store only refuses this VM.
+		if l.holds {
+			l.until = time.Now().Add(ttl)
+		}
+		l.g.control.storeFailed("join", err)
+		return
+	}
+	held := l.holds
+	l.generation, l.holds = m.Generation, false
+	for _, p := range m.Partitions {
+		l.holds = l.holds || p == leadPartition
+	}
+	l.until = began.Add(ttl)
+	if l.holds != held {
+		id := event.PlacementLeaseTaken
+		if held {
+			id = event.PlacementLeaseLost
+		}
+		l.g.log.Log(id).Uint64("epoch", l.generation).Str("reason", "group").Send()
+		l.forget()
+	}
+}
+
+// forget drops what was known of orders: another leader may have given others since.
+func (l *leader) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.orders)
+	l.listedAt = time.Time{}
+}
+
+// resign leaves the group at a planned stop, so that another takes over at once.
+func (l *leader) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if l.generation == 0 {
+		return
+	}
+	if err := l.g.store.Leave(ctx, leadGroup, l.g.settings.Self.ID); err != nil {
+		l.g.control.storeFailed("leave", err)
+	}
+}
+
+// give compares what the engines hold with the plan and gives orders.
+func (l *leader) give(ctx context.Context) {
+	v := l.g.view.Load()
+	now := time.Now()
+	for id, service := range v.catalog.Services {
+		if service.Engine != nil {
+			l.giveService(ctx, now, v, id, service)
+		}
+	}
+}
+
+func (l *leader) giveService(ctx context.Context, now time.Time, v *view, id catalog.ServiceID, service *catalog.Service) {
+	engines := make([]layout.Engine, 0, len(v.list))
+	byID := make(map[fleet.UpstreamID]roster.Upstream, len(v.list))
+	l.mu.Lock()
+	for _, u := range v.list {
+		if u.Service != id || u.Draining || l.lost(now, v, u.ID) {
+			continue
+		}
+		byID[u.ID] = u
+		engines = append(engines, layout.Engine{
+			ID: u.ID, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card], Holds: l.expected(now, u),
+		})
+	}
+	l.mu.Unlock()
+	plan, ok := l.plan(now, service.Engine, engines)
+	if !ok {
+		return
+	}
+	loading := 0
+	var wanted []roster.Upstream
+	l.mu.Lock()
+	for _, u := range byID {
+		p := l.orders[u.ID]
+		if p != nil && now.Before(p.loadEnds) && u.Layers != p.target {
+			loading++
+			continue
+		}
+		if target := plan[u.ID]; target.Len() > 0 && target != u.Layers && (p == nil || p.target != target || now.Sub(p.since) > orderWait) {
+			wanted = append(wanted, u)
+		}
+	}
+	l.mu.Unlock()
+	limit := len(wanted)
+	if l.g.trafficSeen() {
+		limit = max(0, max(service.Engine.LoadsAtOnce, 1)-loading)
+	}
+	sortByLoad(wanted, plan)
+	for _, u := range wanted[:min(limit, len(wanted))] {
+		l.order(ctx, now, service.Engine, u, plan[u.ID])
+	}
+}
+
+// lost reports whether an engine is dead for so long that its layers are placed
+// elsewhere. Callers hold the lock.
+func (l *leader) lost(now time.Time, v *view, id fleet.UpstreamID) bool {
+	if !v.dead[id] {
+		delete(l.deadSince, id)
+		return false
+	}
+	since, ok := l.deadSince[id]
+	if !ok {
+		l.deadSince[id] = now
+		return false
+	}
+	return now.Sub(since) > lostAfter
+}
+
+// expected returns what an engine holds or will hold after its order. Callers
+// hold the lock.
+func (l *leader) expected(now time.Time, u roster.Upstream) fleet.LayerRange {
+	p := l.orders[u.ID]
+	if p == nil {
+		return u.Layers
+	}
+	if !p.born.Equal(u.Born) || p.target == u.Layers || now.Sub(p.since) > orderWait && now.After(p.loadEnds.Add(orderWait)) {
+		delete(l.orders, u.ID)
+		return u.Layers
+	}
+	return p.target
+}
+
+// plan returns the plan for the engines. Before there is traffic, loads are cheap
+// and the plan is made anew for each new engine; afterwards it is repaired.
+func (l *leader) plan(now time.Time, e *catalog.Engine, engines []layout.Engine) (layout.Plan, bool) {
+	if l.listedAt.IsZero() {
+		l.listedAt, l.changedAt = now, now
+	}
+	if len(engines) != l.count {
+		l.count, l.changedAt = len(engines), now
+	}
+	held := false
+	for _, x := range engines {
+		held = held || x.Holds.Len() > 0
+	}
+	fresh := !held || !l.g.trafficSeen() && l.g.settings.FirstStart && time.Since(l.g.started) < freshTime
+	if fresh && now.Sub(l.changedAt) < settleTime && now.Sub(l.listedAt) < firstPlanBy {
+		return nil, false
+	}
+	plan := layout.Repair(e, engines)
+	if fresh {
+		plan = layout.Fresh(e, engines)
+	}
+	if !samePlan(plan, l.lastPlan) {
+		l.lastPlan = plan
+		line := l.g.log.Log(event.PlacementPlanned).Uint64("epoch", l.generation).Bool("fresh", fresh).Int("engines", len(engines))
+		for id, r := range plan {
+			line = line.Stringer(string(id), r)
+		}
+		line.Send()
+	}
+	return plan, true
+}
+
+// freshTime bounds the time after the start in which loads count as cheap.
+const freshTime = 9 * time.Second
+
+func samePlan(a, b layout.Plan) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, r := range a {
+		if b[id] != r {
+			return false
+		}
+	}
+	return true
+}
+
+// sortByLoad puts the longest loads first.
+func sortByLoad(list []roster.Upstream, plan layout.Plan) {
+	for i := 1; i < len(list); i++ {
+		for j := i; j > 0 && plan[list[j].ID].Len() > plan[list[j-1].ID].Len(); j-- {
+			list[j], list[j-1] = list[j-1], list[j]
+		}
+	}
+}
+
+// order asks an engine for its state and orders it to hold a range, in a
+// goroutine of its own, so that a silent engine delays no other.
+func (l *leader) order(ctx context.Context, now time.Time, e *catalog.Engine, u roster.Upstream, target fleet.LayerRange) {
+	load := time.Duration(float64(e.Load) * float64(target.Len()) / float64(max(e.Layers, 1)))
+	p := &placed{born: u.Born, target: target, since: now, loadEnds: now.Add(load + orderTimeout)}
+	l.mu.Lock()
+	l.orders[u.ID] = p
+	l.mu.Unlock()
+	fence := l.generation
+	l.g.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+		defer cancel()
+		report, err := l.g.servers.Report(ctx, u.Address)
+		if err != nil {
+			l.orderFailed(u, fence, "report", err)
+			return
+		}
+		l.g.control.post(func(now time.Time) { l.g.control.reported(now, u.ID, report) })
+		if report.Busy || report.Layers == target {
+			return
+		}
+		got, err := l.g.servers.Place(ctx, u.Address, u.ID, platform.Order{Layers: target, Fence: fence, Expected: report.Orders})
+		l.g.stats.Count("orders", "result", got.String())
+		l.g.log.Log(event.PlacementOrdered).Str("upstream", string(u.ID)).Stringer("layers", target).Stringer("held", report.Layers).
+			Uint64("epoch", fence).Int("expected", report.Orders).Str("result", got.String()).AnErr("cause", err).Send()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		switch got {
+		case platform.OrderFenced:
+			l.fenced = max(l.fenced, fence)
+		case platform.OrderConflict, platform.OrderRefused:
+			p.loadEnds = time.Now()
+		}
+	})
+}
+
+// errNoReport is the cause of an order that was not given.
+var errNoReport = errors.New("engine gave no report")
+
+func (l *leader) orderFailed(u roster.Upstream, fence uint64, call string, err error) {
+	l.g.stats.Count("orders", "result", "no_report")
+	l.g.log.Log(event.PlacementOrderFailed).Str("upstream", string(u.ID)).Uint64("epoch", fence).
+		Str("reason", call).Err(errors.Join(errNoReport, err)).Send()
+	l.g.control.suspect(u.ID)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.orders, u.ID)
+}
--- /dev/null
+++ b/pkg/gateway/peers.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/chain"
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/peering"
+	"github.com/cornelline/cornelline/pkg/wire"
+)
+
+const (
+	// tellInterval is the interval of a VM's news to the others in a fleet of up to
+	// tellFewVMs; it grows with the number of VMs, so that the messages that each
+	// receives in a second stay the same.
+	tellInterval = 250 * time.Millisecond
+	tellFewVMs   = 8
+	// peerStale is the age of news after which a VM's promises no longer count: it
+	// has ended, and its streams with it.
+	peerStale = 3 * time.Second
+	// configFetchTimeout bounds the transfer of a configuration from another VM.
+	configFetchTimeout = time.Second
+)
+
+// errUnknownMessage is returned to a peer for a request that this VM does not know.
+var errUnknownMessage = errors.New("unknown message")
+
+// peerState is what another VM last said.
+type peerState struct {
+	peering.State
+	heard time.Time
+}
+
+// receive hands a peer's message to the control goroutine.
+func (g *Gateway) receive(_ wire.Peer, m wire.Message) {
+	g.control.post(func(now time.Time) {
+		if state, ok := m.(*peering.State); ok {
+			g.control.heard(now, state)
+			return
+		}
+		g.control.send(g.control.members.Receive(now, m))
+	})
+}
+
+// respond answers a peer's request.
+func (g *Gateway) respond(ctx context.Context, _ wire.Peer, m wire.Message) (wire.Message, error) {
+	want, ok := m.(*peering.ConfigWant)
+	if !ok {
+		return nil, errUnknownMessage
+	}
+	answer := make(chan []byte, 1)
+	g.control.post(func(time.Time) {
+		if g.control.catalog != nil && g.control.catalog.Version > want.Version {
+			answer <- g.control.config
+			return
+		}
+		answer <- nil
+	})
+	select {
+	case data := <-answer:
+		return &peering.ConfigOffer{Data: data}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// peerFailed notes why a connection to another VM ended.
+func (g *Gateway) peerFailed(address string, err error) {
+	g.stats.Count("peer_connections_failed")
+	g.log.Log(event.PeerConnectionFailed).Str("peer", address).Err(err).Send()
+}
+
+// send performs what membership decided.
+func (c *control) send(actions []membership.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case membership.Send:
+			_ = c.g.peers.Send(a.To, a.Message) // membership counts on lost messages
+		case membership.Changed:
+			c.memberChanged(a)
+		}
+	}
+}
+
+func (c *control) memberChanged(a membership.Changed) {
+	c.dirty = true
+	id := event.MemberJoined
+	switch {
+	case !a.Live:
+		id = event.MemberLost
+		delete(c.peers, a.Member.ID)
+	case a.Member.Leaving:
+		id = event.MemberLeaving
+	}
+	c.g.log.Log(id).Str("member", string(a.Member.ID)).Str("data_centre", string(a.Member.DataCentre)).Send()
+	c.g.retryMu.Lock()
+	c.g.retries.SetConfig(c.g.retryConfig(1 + len(c.members.View().Members)))
+	c.g.retryMu.Unlock()
+}
+
+// heard takes in another VM's news.
+func (c *control) heard(now time.Time, s *peering.State) {
+	old := c.peers[s.VM]
+	if old != nil && (s.Started < old.Started || s.Started == old.Started && s.Sequence <= old.Sequence) {
+		return
+	}
+	c.peers[s.VM] = &peerState{State: *s, heard: now}
+	for id, factor := range s.Slow {
+		if c.slow[id] != float64(factor) {
+			c.noteSlowness(id, float64(factor))
+		}
+	}
+	for _, id := range s.Dead { // another VM's finding is a reason to look, not a verdict
+		c.act(now, c.health.Silent(now, id, nil))
+	}
+	c.shareOthers()
+	if c.catalog == nil || s.Config > c.catalog.Version {
+		c.fetchConfig(s.VM)
+	}
+}
+
+// shareOthers gives the gates what the other VMs have promised.
+func (c *control) shareOthers() {
+	loads := make(map[fleet.UpstreamID]chain.Load)
+	for _, p := range c.peers {
+		for _, x := range p.Promises {
+			l := loads[x.Upstream]
+			l.KV += float64(x.KV)
+			l.Requests += float64(x.Requests)
+			l.Tokens += float64(x.Tokens)
+			loads[x.Upstream] = l
+		}
+	}
+	for _, gate := range c.gates {
+		gate.setOthers(loads)
+	}
+}
+
+// forgetPeers drops the promises of VMs that fell silent.
+func (c *control) forgetPeers(now time.Time) {
+	changed := false
+	for id, p := range c.peers {
+		if now.Sub(p.heard) > peerStale {
+			delete(c.peers, id)
+			changed = true
+		}
+	}
+	if changed {
+		c.shareOthers()
+	}
+}
+
+// tellPeers sends this VM's news to the others when it is time.
+func (c *control) tellPeers(now time.Time) {
+	v := c.g.view.Load()
+	interval := tellInterval * time.Duration(max(1, v.vms/tellFewVMs))
+	if now.Sub(c.toldAt) < interval || len(v.peers) == 0 {
+		return
+	}
+	c.toldAt = now
+	c.sequence++
+	s := &peering.State{VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence}
+	if c.catalog != nil {
+		s.Config = c.catalog.Version
+	}
+	for _, gate := range c.gates {
+		s.Promises = gate.promises(s.Promises)
+	}
+	for id := range v.dead {
+		s.Dead = append(s.Dead, id)
+	}
+	if len(c.slow) > 0 {
+		s.Slow = make(map[fleet.UpstreamID]float32, len(c.slow))
+		for id, factor := range c.slow {
+			s.Slow[id] = float32(factor)
+		}
+	}
+	for _, address := range v.peers {
+		_ = c.g.peers.Send(address, s) // the next news replaces what is lost
+	}
+}
+
+// fetchConfig asks another VM for its configuration, which is newer.
+func (c *control) fetchConfig(vm fleet.VMID) {
+	if c.fetching {
+		return
+	}
+	address, ok := c.g.view.Load().peers[vm]
+	if !ok {
+		return
+	}
+	c.fetching = true
+	want := &peering.ConfigWant{}
+	if c.catalog != nil {
+		want.Version = c.catalog.Version
+	}
+	c.g.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(c.g.running, configFetchTimeout)
+		defer cancel()
+		answer, err := c.g.peers.Call(ctx, address, want)
+		if offer, ok := answer.(*peering.ConfigOffer); ok && len(offer.Data) > 0 {
+			c.configRead(offer.Data, string(vm))
+		}
+		if err != nil {
+			c.g.stats.Count("config_fetches_failed")
+		}
+		c.post(func(time.Time) { c.fetching = false })
+	})
+}
--- /dev/null
+++ b/pkg/gateway/reload.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/platform"
+)
+
+// reloadInterval is the interval at which the settings file is read without a
+// signal: it may change without one.
+const reloadInterval = 5 * time.Second
+
+// Reload reads the settings again at each signal and from time to time until ctx
+// ends. Bounds are put in force; addresses are those of the start.
+func (g *Gateway) Reload(ctx context.Context, signals <-chan os.Signal, load func() (platform.Settings, error)) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	known := g.settings.Bounds
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			signalled = true
+		case <-ticker.C:
+		}
+		s, err := load()
+		if err != nil {
+			g.log.Log(event.Reloaded).Bool("signal", signalled).Str("outcome", "kept").Err(err).Send()
+			continue
+		}
+		if s.Bounds != known || signalled {
+			g.log.Log(event.Reloaded).Bool("signal", signalled).Str("outcome", "in_force").Send()
+		}
+		if s.Bounds != known {
+			known = s.Bounds
+			g.control.post(func(time.Time) { g.setBounds(s.Bounds) })
+		}
+	}
+}
+
+// setBounds puts the limits of new settings in force.
+func (g *Gateway) setBounds(b platform.Bounds) {
+	g.bounds.Store(&b)
+	g.retryMu.Lock()
+	defer g.retryMu.Unlock()
+	g.retries.SetConfig(g.retryConfig(1 + len(g.control.members.View().Members)))
+}
--- /dev/null
+++ b/pkg/gateway/streams.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/chain"
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+// errStalled ends a run whose chain makes no progress; another run may continue it.
+var errStalled = errors.New("chain makes no progress")
+
+const (
+	// suspectAfter is the time without an event after which the servers of a chain
+	// are probed. Steps take some tens of milliseconds; a chain under load pauses
+	// for prompts up to about the longest pause that is on time, 200 to 250 ms.
+	suspectAfter = 500 * time.Millisecond
+	// moveAfter is the time without an event after which a run is given up though
+	// no server of its chain was found dead. Callers leave after 2 s.
+	moveAfter = 1500 * time.Millisecond
+	// firstFactor multiplies both for the first event, before which a prompt may
+	// wait in the chain's batches.
+	firstFactor = 1.2
+)
+
+// run is one run of a generation on a chain.
+type run struct {
+	chain  *chain.Chain
+	cancel context.CancelCauseFunc
+	// lastEvent is the time of the last event in nanoseconds, of the start before
+	// the first one.
+	lastEvent atomic.Int64
+	events    atomic.Int64
+	// counted is the number of events at the last sweep; only the control goroutine uses it.
+	counted   int64
+	suspected time.Time
+	// movable is set when another run may take over.
+	movable bool
+}
+
+// streams are the runs in progress.
+type streams struct {
+	mu   sync.Mutex
+	runs map[*run]struct{}
+}
+
+func newStreams() *streams { return &streams{runs: make(map[*run]struct{})} }
+
+func (s *streams) add(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[r] = struct{}{}
+}
+
+func (s *streams) remove(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.runs, r)
+}
+
+func (s *streams) all(out []*run) []*run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r := range s.runs {
+		out = append(out, r)
+	}
+	return out
+}
+
+// sweep looks for runs that make no progress. Servers on which no run has made
+// progress since are probed; runs on a server that was found dead, or that stand
+// still for too long, are given up so that another run continues them.
+func (c *control) sweep(now time.Time) {
+	runs := c.g.streams.all(nil)
+	for _, r := range runs {
+		if events := r.events.Load(); events > r.counted {
+			r.counted = events
+			for _, stage := range r.chain.Stages {
+				c.progress[stage.Server] = now
+			}
+		}
+	}
+	dead := c.g.view.Load().dead
+	for _, r := range runs {
+		last := time.Unix(0, r.lastEvent.Load())
+		still := now.Sub(last)
+		if r.events.Load() == 0 {
+			still = time.Duration(float64(still)/firstFactor) - r.chain.FirstEvent
+		}
+		if still < controlTick {
+			continue
+		}
+		if r.movable && (still > moveAfter || onDead(r, dead)) {
+			r.cancel(errStalled)
+			continue
+		}
+		if still > suspectAfter && now.Sub(r.suspected) > suspectAfter {
+			r.suspected = now
+			c.suspectStages(now, r, last)
+		}
+	}
+}
+
+// suspectStages probes the servers of a chain on which nothing made progress
+// since the chain's last event.
+func (c *control) suspectStages(now time.Time, r *run, last time.Time) {
+	for _, stage := range r.chain.Stages {
+		if progress, ok := c.progress[stage.Server]; ok && progress.After(last.Add(2*controlTick)) {
+			continue
+		}
+		c.act(now, c.health.Silent(now, stage.Server, nil))
+	}
+}
+
+func onDead(r *run, dead map[fleet.UpstreamID]bool) bool {
+	for _, stage := range r.chain.Stages {
+		if dead[stage.Server] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/gateway/view.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/catalog"
+	"github.com/cornelline/cornelline/pkg/chain"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/roster"
+)
+
+// view is what request goroutines see of the control state. It is immutable,
+// but for the gates, which have locks of their own.
+type view struct {
+	// catalog is nil until a configuration is known.
+	catalog *catalog.Catalog
+	// gates are those of the services with model engines.
+	gates map[catalog.ServiceID]*gate
+	// plain are the servers of the plain services.
+	plain map[catalog.ServiceID][]plainServer
+	// upstreams are all known, by address.
+	byAddress map[string]fleet.UpstreamID
+	list      []roster.Upstream
+	// vms counts the live VMs, this one included.
+	vms int
+	// addresses are where callers may connect.
+	addresses []string
+	peers     map[fleet.VMID]string
+	// listed is set once the list of upstreams was read.
+	listed bool
+	// dead are the upstreams ejected here.
+	dead map[fleet.UpstreamID]bool
+}
+
+// plainServer is a server of a plain service.
+type plainServer struct {
+	id         fleet.UpstreamID
+	service    catalog.ServiceID
+	address    string
+	dataCentre fleet.DataCentreID
+	slots      int
+	weight     float64
+	load       *plainLoad
+}
+
+func emptyView() *view { return &view{vms: 1} }
+
+// publish makes a new view.
+func (c *control) publish(now time.Time) {
+	c.dirty = false
+	list := c.roster.List()
+	v := &view{
+		catalog: c.catalog, list: list, listed: c.listed,
+		gates: make(map[catalog.ServiceID]*gate), plain: make(map[catalog.ServiceID][]plainServer),
+		byAddress: make(map[string]fleet.UpstreamID, len(list)), dead: make(map[fleet.UpstreamID]bool),
+	}
+	c.placeVMs(v)
+	duties := c.health
+	members := make([]roster.Upstream, 0, len(list))
+	for _, u := range list {
+		v.byAddress[u.Address] = u.ID
+		if !u.Draining {
+			members = append(members, u)
+		}
+	}
+	duties.SetMembers(c.duties(members))
+	for _, u := range members {
+		if duties.Weight(u.ID) <= 0 {
+			v.dead[u.ID] = true
+		}
+	}
+	if c.catalog != nil {
+		c.publishServices(now, v, members)
+	}
+	c.g.view.Store(v)
+}
+
+func (c *control) publishServices(now time.Time, v *view, members []roster.Upstream) {
+	for id, service := range c.catalog.Services {
+		if service.Engine == nil {
+			v.plain[id] = c.plainServers(id, members)
+			continue
+		}
+		g := c.gates[id]
+		if g == nil {
+			g = newGate(service.Engine, c.g.settings.Self.DataCentre)
+			c.gates[id] = g
+		}
+		g.update(now, service.Engine, c.engines(service, members), v.vms)
+		v.gates[id] = g
+	}
+}
+
+func (c *control) engines(service *catalog.Service, members []roster.Upstream) []chain.Server {
+	var servers []chain.Server
+	for _, u := range members {
+		if u.Service != service.ID {
+			continue
+		}
+		servers = append(servers, chain.Server{
+			ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card],
+			Layers: c.held(u), Weight: c.health.Weight(u.ID), Slowness: max(c.slow[u.ID], 1),
+		})
+	}
+	return servers
+}
+
+func (c *control) plainServers(id catalog.ServiceID, members []roster.Upstream) []plainServer {
+	var servers []plainServer
+	old := c.g.view.Load().plain[id]
+	for _, u := range members {
+		if u.Service != id {
+			continue
+		}
+		s := plainServer{
+			id: u.ID, service: id, address: u.Address, dataCentre: u.DataCentre, slots: u.Slots, weight: c.health.Weight(u.ID), load: &plainLoad{},
+		}
+		for _, o := range old {
+			if o.id == u.ID {
+				s.load = o.load
+			}
+		}
+		servers = append(servers, s)
+	}
+	return servers
+}
+
+// placeVMs fills in what the view says of the entry VMs.
+func (c *control) placeVMs(v *view) {
+	members := c.members.View()
+	v.peers = make(map[fleet.VMID]string, len(members.Members))
+	v.vms = 1
+	if !c.g.stopper.stopping() {
+		v.addresses = append(v.addresses, c.g.settings.Self.Address)
+	}
+	for _, m := range members.Members {
+		v.peers[m.ID] = m.PeerAddress
+		v.vms++
+		if m.Status == membership.Alive && !m.Leaving {
+			v.addresses = append(v.addresses, m.Address)
+		}
+	}
+	slices.Sort(v.addresses)
+}
--- /dev/null
+++ b/pkg/layout/layout_test.go
@@ -0,0 +1,78 @@
+package layout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/catalog"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/layout"
+)
+
+func testEngine() *catalog.Engine {
+	return &catalog.Engine{
+		Model: "m", Slots: 192, Layers: 80, LayerMB: 1750, KVBytesPerToken: 590000,
+		Step: 850 * time.Microsecond, StepPerRequest: 3820 * time.Nanosecond, StepPerThousandTokens: 5120 * time.Nanosecond,
+		ReadPerSecond: 196000, Stride: 2, Load: 14 * time.Second, LoadsAtOnce: 6,
+		ActivationBytes: 29500, PipeBytesPerSecond: 13000 * 125000, UsualPrompt: 772, UsualAnswer: 167,
+		Cards: map[string]catalog.Card{
+			"h100":  {Name: "h100", MemoryMB: 72000, StepFactor: 1.4, ReadFactor: 1},
+			"a100s": {Name: "a100s", MemoryMB: 36000, StepFactor: 3.1, ReadFactor: 3.2},
+			"l4":    {Name: "l4", MemoryMB: 21600, StepFactor: 16, ReadFactor: 8.2},
+			"t4":    {Name: "t4", MemoryMB: 14400, StepFactor: 15, ReadFactor: 15},
+		},
+	}
+}
+
+func testEngines(e *catalog.Engine) []layout.Engine {
+	var list []layout.Engine
+	add := func(dc, card string, count int) {
+		for i := range count {
+			list = append(list, layout.Engine{
+				ID: fleet.UpstreamID(fmt.Sprintf("%s-%s-%d", dc, card, i)), DataCentre: fleet.DataCentreID(dc), Card: e.Cards[card],
+			})
+		}
+	}
+	add("c", "h100", 1)
+	add("a", "a100s", 1)
+	add("b", "a100s", 2)
+	add("c", "a100s", 1)
+	add("a", "l4", 8)
+	add("b", "l4", 4)
+	add("c", "l4", 5)
+	add("a", "t4", 3)
+	add("b", "t4", 7)
+	add("c", "t4", 7)
+	return list
+}
+
+// TestFreshGivesEachDataCentreAChain covers the standard deployment: the pipe
+// between data centres is too small for chains that cross it.
+func TestFreshGivesEachDataCentreAChain(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	engines := testEngines(e)
+	plan := layout.Fresh(e, engines)
+	for _, dc := range []fleet.DataCentreID{"a", "b", "c"} {
+		held := make([]int, e.Layers)
+		for _, x := range engines {
+			r, ok := plan[x.ID]
+			if !ok || x.DataCentre != dc {
+				continue
+			}
+			t.Log(x.ID, r)
+			is.True(float64(r.Len())*e.LayerMB <= x.Card.MemoryMB) // no engine is ordered to hold more than its memory
+			for l := r.First; l < r.End; l++ {
+				held[l]++
+			}
+		}
+		for l, n := range held {
+			if n == 0 {
+				t.Errorf("data centre %s: nobody holds layer %d", dc, l)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/layout/repair.go
@@ -0,0 +1,151 @@
+package layout
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cornelline/cornelline/pkg/catalog"
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+// Repair returns the plan that follows from what the engines hold. Engines keep
+// their ranges unless a layer is missing that only a second copy can replace;
+// empty engines take missing layers first and then the layers with the fewest
+// tokens left.
+func Repair(e *catalog.Engine, engines []Engine) Plan {
+	p := newPlanner(e)
+	plan := Plan{}
+	for _, x := range engines {
+		if x.Holds.Len() > 0 {
+			plan[x.ID] = x.Holds
+		}
+	}
+	for _, dc := range dataCentres(engines) {
+		p.repairCentre(inCentre(engines, dc), plan)
+	}
+	if !complete(e.Layers, engines, plan) {
+		return p.reviseAll(engines, plan)
+	}
+	return plan
+}
+
+// reviseAll plans anew when no set of copies completes the model. Engines whose
+// range stays the same load nothing.
+func (p *planner) reviseAll(engines []Engine, plan Plan) Plan {
+	fresh := Fresh(p.engine, engines)
+	if complete(p.engine.Layers, engines, fresh) {
+		return fresh
+	}
+	return plan
+}
+
+// repairCentre completes the chains of one data centre.
+func (p *planner) repairCentre(engines []Engine, plan Plan) {
+	state := bySpeed(engines)
+	for {
+		gap := p.firstGap(state)
+		if gap.Len() == 0 {
+			break
+		}
+		i := p.pickFor(gap, state)
+		if i < 0 {
+			p.reviseCentre(engines, plan)
+			return
+		}
+		n := min(gap.Len(), p.most(state[i].Card, leastGenerations*p.tokens))
+		state[i].Holds = fleet.LayerRange{First: gap.First, End: gap.First + n}
+		plan[state[i].ID] = state[i].Holds
+	}
+	for i := range state {
+		if state[i].Holds.Len() > 0 {
+			continue
+		}
+		if r := p.copyFor(state[i].Card, state); r.Len() > 0 {
+			state[i].Holds = r
+			plan[state[i].ID] = r
+		}
+	}
+}
+
+// reviseCentre plans a data centre anew if that gives it a chain of its own. What
+// it holds stays otherwise: it may complete chains of other data centres.
+func (p *planner) reviseCentre(engines []Engine, plan Plan) {
+	fresh := Plan{}
+	p.planCentre(engines, fresh)
+	if !complete(p.engine.Layers, engines, fresh) {
+		return
+	}
+	for _, e := range engines {
+		delete(plan, e.ID)
+	}
+	for id, r := range fresh {
+		plan[id] = r
+	}
+}
+
+// firstGap returns the first run of layers that no engine holds.
+func (p *planner) firstGap(engines []Engine) fleet.LayerRange {
+	held := make([]bool, p.engine.Layers)
+	for _, e := range engines {
+		for l := e.Holds.First; l < min(e.Holds.End, p.engine.Layers); l++ {
+			held[l] = true
+		}
+	}
+	first := slices.Index(held, false)
+	if first < 0 {
+		return fleet.LayerRange{}
+	}
+	end := first
+	for end < len(held) && !held[end] {
+		end++
+	}
+	return fleet.LayerRange{First: first, End: end}
+}
+
+// pickFor returns the index of the engine that should take a gap: an empty one,
+// or one whose layers are all held by others; the one with the most memory left
+// beside the gap. It returns -1 when there is none.
+func (p *planner) pickFor(gap fleet.LayerRange, engines []Engine) int {
+	copies := make([]int, p.engine.Layers)
+	for _, e := range engines {
+		for l := e.Holds.First; l < min(e.Holds.End, p.engine.Layers); l++ {
+			copies[l]++
+		}
+	}
+	best := -1
+	better := func(i, j int) bool { // reports whether i is the better choice
+		if j < 0 {
+			return true
+		}
+		a, b := engines[i], engines[j]
+		whole := func(x Engine) int {
+			return min(gap.Len(), p.most(x.Card, leastGenerations*p.tokens))
+		}
+		if c := cmp.Compare(whole(a), whole(b)); c != 0 {
+			return c > 0
+		}
+		if empty := a.Holds.Len() == 0; empty != (b.Holds.Len() == 0) {
+			return empty
+		}
+		return p.left(a.Card, whole(a)) > p.left(b.Card, whole(b))
+	}
+	for i, e := range engines {
+		if p.most(e.Card, leastGenerations*p.tokens) == 0 || !redundant(e, copies) {
+			continue
+		}
+		if better(i, best) {
+			best = i
+		}
+	}
+	return best
+}
+
+// redundant reports whether all layers of an engine are held by others too.
+func redundant(e Engine, copies []int) bool {
+	for l := e.Holds.First; l < min(e.Holds.End, len(copies)); l++ {
+		if copies[l] < 2 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/peering/message.go
@@ -0,0 +1,46 @@
+// Package peering defines the messages by which entry VMs tell each other what
+// they have promised to upstreams, which configuration is in force, and which
+// upstreams they found dead.
+package peering
+
+import (
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+// Promise is what a VM has promised to one upstream.
+type Promise struct {
+	Upstream fleet.UpstreamID
+	// KV is in tokens x layers.
+	KV       uint32
+	Requests uint16
+	Tokens   uint32
+}
+
+// State is a VM's regular news to the others.
+type State struct {
+	VM fleet.VMID
+	// Started is the VM's start in milliseconds; a later start replaces an earlier one.
+	Started int64
+	// Sequence grows with each message of a start.
+	Sequence uint64
+	// Config is the version of the configuration in force.
+	Config   uint64
+	Promises []Promise
+	// Dead are upstreams that refuse connections or do not answer.
+	Dead []fleet.UpstreamID
+	// Slow are upstreams that work more slowly than usual, with their factor.
+	Slow map[fleet.UpstreamID]float32
+}
+
+// ConfigWant asks for the configuration if it is newer than a version.
+type ConfigWant struct{ Version uint64 }
+
+// ConfigOffer is the newest configuration that a VM has, as it stands in the
+// store; empty when it has none newer.
+type ConfigOffer struct{ Data []byte }
+
+// Crash reports that an upstream ended while it ran a request.
+type Crash struct {
+	Request  uint64 // fingerprint of the request
+	Upstream fleet.UpstreamID
+}
--- a/pkg/stats/stats.go
+++ b/pkg/stats/stats.go
@@ -52,6 +52,17 @@
 	s.observe("first_token_team_ms", d, "team", string(team))
 }
 
+// Answered counts a request by the status of its answer and records its duration.
+func (s *Stats) Answered(rank, status int, d time.Duration) {
+	s.count("answered", "rank", fmt.Sprint(rank), "status", fmt.Sprint(status))
+	s.observe("answer_ms", d, "rank", fmt.Sprint(rank))
+}
+
+// FirstEvent records the time from arrival to the first event of a stream.
+func (s *Stats) FirstEvent(rank int, d time.Duration) {
+	s.observe("first_event_ms", d, "rank", fmt.Sprint(rank))
+}
+
 // BetweenTokens records the time between two tokens of a stream.
 func (s *Stats) BetweenTokens(rank fleet.Rank, d time.Duration) {
 	s.observe("between_tokens_ms", d, "rank", rank.String())
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/share"
 	"github.com/cornelline/cornelline/pkg/spread"
@@ -41,6 +42,10 @@
 	KindExplain
 	KindExplanation
 	KindQuarantine
+	KindPeerState
+	KindConfigWant
+	KindConfigOffer
+	KindCrash
 )
 
 // Message is one of the typed messages below, as a pointer.
@@ -76,6 +81,10 @@
 	KindExplain:      reflect.TypeFor[Explain](),
 	KindExplanation:  reflect.TypeFor[Explanation](),
 	KindQuarantine:   reflect.TypeFor[quarantine.Message](),
+	KindPeerState:    reflect.TypeFor[peering.State](),
+	KindConfigWant:   reflect.TypeFor[peering.ConfigWant](),
+	KindConfigOffer:  reflect.TypeFor[peering.ConfigOffer](),
+	KindCrash:        reflect.TypeFor[peering.Crash](),
 }
 
 var messageKinds = invert(messageTypes)
