--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -5,6 +5,8 @@
 // Invariants:
 //   - a request that waits can still have its first event while its caller is there;
 //     one that cannot is refused in the same call;
+//   - a request that can still be on time goes before one that can't, so that in a
+//     flood the engines' time goes to answers that are on time;
 //   - a rank that gets less than its floor of what it asks for goes first, otherwise
 //     the more urgent rank does;
 //   - within a rank, the team that has the least work on the engines goes first.
@@ -25,6 +27,8 @@
 	// Rank is 0 for the most urgent work.
 	Rank int
 	Need chain.Need
+	// Objective is the time to the first event of an answer that is on time.
+	Objective time.Duration
 	// Patience is how long the caller waits for the first event.
 	Patience time.Duration
 }
@@ -62,8 +66,9 @@
 type waiter struct {
 	Request
 	arrived time.Time
-	// latest is when it must start to be of use.
+	// latest is when it must start to be of use, onTime when it must start to be on time.
 	latest time.Time
+	onTime time.Time
 }
 
 // Queue holds the waiting requests of one service. It is not safe for concurrent use.
@@ -106,10 +111,17 @@
 	if len(q.waiting) >= q.cfg.MaxQueued {
 		return append(out, q.refuse(r, chain.Full, q.cfg.MaxRetry, 0))
 	}
-	q.waiting = append(q.waiting, &waiter{Request: r, arrived: now, latest: now.Add(r.Patience - firstEventMargin)})
+	q.waiting = append(q.waiting, newWaiter(now, r))
 	return out
 }
 
+func newWaiter(now time.Time, r Request) *waiter {
+	return &waiter{
+		Request: r, arrived: now,
+		latest: now.Add(r.Patience - firstEventMargin), onTime: now.Add(r.Objective - firstEventMargin),
+	}
+}
+
 // Cancel forgets a waiting request and reports whether it waited.
 func (q *Queue) Cancel(id fleet.RequestID) bool {
 	i := slices.IndexFunc(q.waiting, func(w *waiter) bool { return w.ID == id })
@@ -185,7 +197,7 @@
 func (q *Queue) next(now time.Time) int {
 	best := 0
 	for i := 1; i < len(q.waiting); i++ {
-		if q.before(now, q.waiting[i].Request, q.waiting[best].Request) {
+		if q.before(now, q.waiting[i], q.waiting[best]) {
 			best = i
 		}
 	}
@@ -194,8 +206,9 @@
 
 // preferred reports whether a waiting request goes before a new one.
 func (q *Queue) preferred(now time.Time, r Request) bool {
+	arriving := newWaiter(now, r)
 	for _, w := range q.waiting {
-		if !q.before(now, r, w.Request) {
+		if !q.before(now, arriving, w) {
 			return true
 		}
 	}
@@ -203,7 +216,10 @@
 }
 
 // before reports whether a goes before b, when b arrived first.
-func (q *Queue) before(now time.Time, a, b Request) bool {
+func (q *Queue) before(now time.Time, a, b *waiter) bool {
+	if late := now.After(a.onTime); late != now.After(b.onTime) {
+		return !late
+	}
 	if a.Rank != b.Rank {
 		shortA, shortB := q.short(now, a.Rank), q.short(now, b.Rank)
 		if shortA != shortB {
@@ -223,8 +239,9 @@
 // predict returns the expected wait of a request that arrives now.
 func (q *Queue) predict(now time.Time, r Request) time.Duration {
 	ahead := 0
+	arriving := newWaiter(now, r)
 	for _, w := range q.waiting {
-		if !q.before(now, r, w.Request) {
+		if !q.before(now, arriving, w) {
 			ahead++
 		}
 	}
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -69,7 +69,7 @@
 	g := &generation{call: c, service: service, gate: gate, avoid: make(map[fleet.UpstreamID]bool)}
 	g.events.Continue(c.caller.LastEvent)
 	g.request = dispatch.Request{
-		ID: c.caller.ID, Team: c.team, Rank: c.rank, Patience: min(c.patience()-patienceMargin, c.left()),
+		ID: c.caller.ID, Team: c.team, Rank: c.rank, Objective: c.route.Objective, Patience: min(c.patience()-patienceMargin, c.left()),
 		Need: chain.Need{Prompt: c.promptTokens(service), Answer: c.answerTokens(service), Gap: c.route.GapObjective},
 	}
 	action, err := gate.enter(c.ctx, g.request)
