--- a/pkg/layout/layout_test.go
+++ b/pkg/layout/layout_test.go
@@ -76,3 +76,54 @@
 		}
 	}
 }
+
+// hold returns the engines with the ranges of a plan, less those lost.
+func hold(engines []layout.Engine, plan layout.Plan, lost ...fleet.UpstreamID) []layout.Engine {
+	var list []layout.Engine
+next:
+	for _, e := range engines {
+		for _, id := range lost {
+			if e.ID == id {
+				continue next
+			}
+		}
+		e.Holds = plan[e.ID]
+		list = append(list, e)
+	}
+	return list
+}
+
+// TestRepairSparesTheFastestEngine covers the loss of an engine in a chain: its
+// layers go to slow second copies, not to the fast engine that also has copies.
+func TestRepairSparesTheFastestEngine(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	engines := testEngines(e)
+	plan := layout.Fresh(e, engines)
+	left := hold(engines, plan, "c-a100s-0")
+	repaired := layout.Repair(e, left)
+	is.Equal(repaired["c-h100-0"], plan["c-h100-0"])
+	held := make([]bool, e.Layers)
+	for _, x := range left {
+		if x.DataCentre == "c" {
+			for l := repaired[x.ID].First; l < repaired[x.ID].End; l++ {
+				held[l] = true
+			}
+		}
+	}
+	for l, ok := range held {
+		if !ok {
+			t.Errorf("layer %d is missing after the repair", l)
+		}
+	}
+}
+
+// TestRepairKeepsWhatIsHeld covers a restart of the leader: a plan that is
+// complete moves nothing.
+func TestRepairKeepsWhatIsHeld(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	engines := testEngines(e)
+	plan := layout.Fresh(e, engines)
+	is.Equal(layout.Repair(e, hold(engines, plan)), plan)
+}
--- a/pkg/layout/repair.go
+++ b/pkg/layout/repair.go
@@ -102,9 +102,11 @@
 	return fleet.LayerRange{First: first, End: end}
 }
 
-// pickFor returns the index of the engine that should take a gap: an empty one,
-// or one whose layers are all held by others; the one with the most memory left
-// beside the gap. It returns -1 when there is none.
+// pickFor returns the index of the engine that should take a gap: an empty one
+// where there is one, else the slowest of those whose layers are all held by
+// others, so that a chain does not lose its fastest engine to a short gap. Among
+// equals the one with the most memory left beside the gap goes first. It returns
+// -1 when there is none.
 func (p *planner) pickFor(gap fleet.LayerRange, engines []Engine) int {
 	copies := make([]int, p.engine.Layers)
 	for _, e := range engines {
@@ -113,33 +115,36 @@
 		}
 	}
 	best := -1
-	better := func(i, j int) bool { // reports whether i is the better choice
-		if j < 0 {
-			return true
-		}
-		a, b := engines[i], engines[j]
-		whole := func(x Engine) int {
-			return min(gap.Len(), p.most(x.Card, leastGenerations*p.tokens))
-		}
-		if c := cmp.Compare(whole(a), whole(b)); c != 0 {
-			return c > 0
-		}
-		if empty := a.Holds.Len() == 0; empty != (b.Holds.Len() == 0) {
-			return empty
-		}
-		return p.left(a.Card, whole(a)) > p.left(b.Card, whole(b))
-	}
 	for i, e := range engines {
 		if p.most(e.Card, leastGenerations*p.tokens) == 0 || !redundant(e, copies) {
 			continue
 		}
-		if better(i, best) {
+		if best < 0 || p.preferFor(gap, e, engines[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
+// preferFor reports whether engine a should take a gap rather than b.
+func (p *planner) preferFor(gap fleet.LayerRange, a, b Engine) bool {
+	emptyA, emptyB := a.Holds.Len() == 0, b.Holds.Len() == 0
+	if emptyA != emptyB {
+		return emptyA
+	}
+	takes := func(x Engine) int { return min(gap.Len(), p.most(x.Card, leastGenerations*p.tokens)) }
+	if emptyA {
+		if c := cmp.Compare(takes(a), takes(b)); c != 0 {
+			return c > 0
+		}
+		return p.left(a.Card, takes(a)) > p.left(b.Card, takes(b))
+	}
+	if c := cmp.Compare(a.Card.StepFactor*a.Card.ReadFactor, b.Card.StepFactor*b.Card.ReadFactor); c != 0 {
+		return c > 0
+	}
+	return p.left(a.Card, takes(a)) > p.left(b.Card, takes(b))
+}
+
 // redundant reports whether all layers of an engine are held by others too.
 func redundant(e Engine, copies []int) bool {
 	for l := e.Holds.First; l < min(e.Holds.End, len(copies)); l++ {
