chain: keep work away from servers that refuse; cross data centres last

Conclusion: kept for callers, who are refused at once instead of being sent in vain; tests in pkg/chain name both load patterns.

--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -93,6 +93,9 @@
 	Server
 	// capacity is the KV memory in tokens x layers.
 	capacity  float64
+	// refusals counts the refusals since the last event, the newest at refusedAt.
+	refusals  int
+	refusedAt time.Time
 	fullUntil time.Time
 	own       Load
 	// others is what the other VMs have promised.
@@ -205,14 +208,32 @@
 	return loads
 }
 
-// fullTime is how long a server that was short of memory gets no new work: its
-// memory frees with the end of generations, which last seconds.
-const fullTime = 250 * time.Millisecond
+const (
+	// refusedTime is how long a server that refused its part gets no new work: the
+	// memory that it is short of frees with the end of generations. The time doubles
+	// with each further refusal, up to maxRefusedTime, because a server that drains
+	// or gives up its layers refuses all that comes until its entry says so.
+	refusedTime    = 250 * time.Millisecond
+	maxRefusedTime = 4 * time.Second
+)
 
-// ShortOfMemory notes that a server refused a request for its memory.
-func (b *Book) ShortOfMemory(now time.Time, id fleet.UpstreamID) {
-	if s := b.byID[id]; s != nil {
-		s.fullUntil = now.Add(fullTime)
+// Refused notes that a server refused its part of a chain.
+func (b *Book) Refused(now time.Time, id fleet.UpstreamID) {
+	s := b.byID[id]
+	if s == nil || now.Before(s.fullUntil) {
+		return // requests that were sent together are refused together
+	}
+	s.fullUntil = now.Add(min(refusedTime<<min(s.refusals, 8), maxRefusedTime))
+	s.refusals++
+	s.refusedAt = now
+}
+
+// Served notes that a chain made an event that began after the refusals of its servers.
+func (b *Book) Served(c *Chain, began time.Time) {
+	for _, stage := range c.Stages {
+		if s := b.byID[stage.Server]; s != nil && began.After(s.refusedAt) {
+			s.refusals = 0
+		}
 	}
 }
 
--- /dev/null
+++ b/pkg/chain/chain_test.go
@@ -0,0 +1,135 @@
+package chain_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/catalog"
+	"github.com/cornelline/cornelline/pkg/chain"
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testEngine() *catalog.Engine {
+	return &catalog.Engine{
+		Slots: 192, Layers: 80, LayerMB: 1750, KVBytesPerToken: 590000,
+		Step: 850 * time.Microsecond, StepPerRequest: 3820 * time.Nanosecond, StepPerThousandTokens: 5120 * time.Nanosecond,
+		ReadPerSecond: 196000, Stride: 2, ActivationBytes: 29500, PipeBytesPerSecond: 13000 * 125000,
+		UsualPrompt: 772, UsualAnswer: 167,
+	}
+}
+
+var (
+	fast = catalog.Card{Name: "fast", MemoryMB: 72000, StepFactor: 1.4, ReadFactor: 1}
+	slow = catalog.Card{Name: "slow", MemoryMB: 21600, StepFactor: 16, ReadFactor: 8.2}
+)
+
+func server(id, dc string, card catalog.Card, first, end int) chain.Server {
+	return chain.Server{
+		ID: fleet.UpstreamID(id), Address: "10.0.0.1:" + id, DataCentre: fleet.DataCentreID(dc), Card: card,
+		Layers: fleet.LayerRange{First: first, End: end}, Weight: 1, Slowness: 1,
+	}
+}
+
+// chainOf makes servers that hold all layers, n each.
+func chainOf(prefix, dc string, card catalog.Card, n int) []chain.Server {
+	var list []chain.Server
+	for first := 0; first < 80; first += n {
+		list = append(list, server(fmt.Sprintf("%s%d", prefix, first), dc, card, first, min(first+n, 80)))
+	}
+	return list
+}
+
+var need = chain.Need{Prompt: 772, Answer: 167}
+
+// TestChainsRunEveryLayerOnceInOrder checks the invariant on overlapping ranges.
+func TestChainsRunEveryLayerOnceInOrder(t *testing.T) {
+	is := is.New(t)
+	b := chain.New(testEngine(), "a")
+	b.SetServers(append(chainOf("s", "a", slow, 8), server("x", "a", fast, 4, 36), server("y", "a", fast, 30, 61)))
+	c, failure := b.Reserve(start, need, nil)
+	is.Equal(failure, chain.NoFailure)
+	next := 0
+	for _, s := range c.Stages {
+		is.Equal(s.Layers.First, next)
+		next = s.Layers.End
+	}
+	is.Equal(next, 80)
+}
+
+// TestFloodStopsAtTheMemory answers a flood of generations: no server is promised
+// more memory than its layers leave, and what ends makes room.
+func TestFloodStopsAtTheMemory(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	b := chain.New(e, "a")
+	servers := chainOf("s", "a", slow, 8)
+	b.SetServers(servers)
+	var running []*chain.Chain
+	for range 10000 {
+		c, failure := b.Reserve(start, need, nil)
+		if failure != chain.NoFailure {
+			is.Equal(failure, chain.Full)
+			break
+		}
+		running = append(running, c)
+	}
+	is.True(len(running) > 50)
+	for _, s := range servers {
+		is.True(b.Own()[s.ID].KV <= chain.Capacity(e, s.Card, s.Layers.Len()))
+	}
+	b.Release(running[0])
+	b.Release(running[0]) // a second release must not make room again
+	_, failure := b.Reserve(start, need, nil)
+	is.Equal(failure, chain.NoFailure)
+	_, failure = b.Reserve(start, need, nil)
+	is.Equal(failure, chain.Full)
+}
+
+// TestLocalChainsGoBeforeCrossingOnes keeps generations off the pipe between data
+// centres while their own has room.
+func TestLocalChainsGoBeforeCrossingOnes(t *testing.T) {
+	is := is.New(t)
+	b := chain.New(testEngine(), "a")
+	b.SetServers(append(chainOf("a", "a", slow, 8), server("fast", "b", fast, 0, 40)))
+	c, failure := b.Reserve(start, need, nil)
+	is.Equal(failure, chain.NoFailure)
+	is.Equal(c.Crossings, 0)
+}
+
+// TestRepeatedRefusalsKeepWorkAway answers a server that drains while the store is
+// away: it refuses everything, and its entry does not say so.
+func TestRepeatedRefusalsKeepWorkAway(t *testing.T) {
+	is := is.New(t)
+	b := chain.New(testEngine(), "a")
+	b.SetServers(chainOf("s", "a", slow, 8))
+	refused := 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		if c, failure := b.Reserve(now, need, nil); failure == chain.NoFailure {
+			b.Refused(now, "s16")
+			b.Release(c)
+			refused++
+		}
+	}
+	is.True(refused <= 7) // 0.25, 0.5, 1, 2, 4, 4 s apart
+	// An event that began after the refusals ends the suspicion.
+	c, failure := b.Reserve(start.Add(time.Minute), need, nil)
+	is.Equal(failure, chain.NoFailure)
+	b.Served(c, start.Add(time.Minute))
+	b.Refused(start.Add(time.Minute), "s16")
+	_, failure = b.Reserve(start.Add(time.Minute+260*time.Millisecond), need, nil)
+	is.Equal(failure, chain.NoFailure)
+}
+
+// TestMissingLayersAreNotAFlood tells the two reasons apart.
+func TestMissingLayersAreNotAFlood(t *testing.T) {
+	is := is.New(t)
+	b := chain.New(testEngine(), "a")
+	b.SetServers(chainOf("s", "a", slow, 8)[1:])
+	_, failure := b.Reserve(start, need, nil)
+	is.Equal(failure, chain.Incomplete)
+}
--- a/pkg/chain/search.go
+++ b/pkg/chain/search.go
@@ -14,8 +14,9 @@
 	hopTime   = 250 * time.Microsecond
 	crossTime = 700 * time.Microsecond
 	// crossPenalty is added for a hop between data centres, whose pipe all chains
-	// share: such a chain is taken when the local ones are much slower or full.
-	crossPenalty = 500 * time.Millisecond
+	// share: it exceeds the time of a generation, so that such a chain is taken when
+	// the local ones are full.
+	crossPenalty = 5 * time.Second
 	// gapShare is the part of the longest pause between events that a chain may be
 	// expected to need; the rest is for prompts that are read between the steps.
 	gapShare = 0.7
--- a/pkg/gateway/gate.go
+++ b/pkg/gateway/gate.go
@@ -83,11 +83,18 @@
 	g.deliver(g.queue.Tick(time.Now(), nil))
 }
 
-// shortOfMemory notes an engine that refused a request for its memory.
-func (g *gate) shortOfMemory(id fleet.UpstreamID) {
+// refused notes an engine that refused its part of a chain.
+func (g *gate) refused(id fleet.UpstreamID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.ShortOfMemory(time.Now(), id)
+	g.book.Refused(time.Now(), id)
+}
+
+// served notes the first event of a chain that was begun at a time.
+func (g *gate) served(c *chain.Chain, began time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Served(c, began)
 }
 
 // deliver hands decisions to the requests that wait for them. Callers hold the lock.
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -297,7 +297,7 @@
 		}
 	}
 	g.avoid[id] = true
-	g.gate.shortOfMemory(id)
+	g.gate.refused(id)
 	g.g.stats.Count("chain_refusals")
 	g.line(event.ChainRefused).Str("upstream", string(id)).Bool("wrong_instance", reply.WrongInstance).Send()
 	g.g.control.suspect(id)
@@ -329,8 +329,10 @@
 			whole, events := g.events.Feed(buffer[:n])
 			if events > 0 {
 				now := time.Now()
+				if r.events.Add(int64(events)) == int64(events) {
+					g.gate.served(r.chain, time.Unix(0, r.lastEvent.Load()))
+				}
 				r.lastEvent.Store(now.UnixNano())
-				r.events.Add(int64(events))
 				g.forward(now, answer, whole)
 			}
 		}
