dispatch: rank before on-time within the queue

Cause: overnight work has a longer objective, so that on-time first served it before urgent work. Conclusion: kept, urgent work is judged first.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -217,9 +217,6 @@
 
 // before reports whether a goes before b, when b arrived first.
 func (q *Queue) before(now time.Time, a, b *waiter) bool {
-	if late := now.After(a.onTime); late != now.After(b.onTime) {
-		return !late
-	}
 	if a.Rank != b.Rank {
 		shortA, shortB := q.short(now, a.Rank), q.short(now, b.Rank)
 		if shortA != shortB {
@@ -227,6 +224,9 @@
 		}
 		return a.Rank < b.Rank
 	}
+	if late := now.After(a.onTime); late != now.After(b.onTime) {
+		return !late
+	}
 	return q.teams[a.Team] < q.teams[b.Team]
 }
 
