--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/catalog"
@@ -41,11 +42,13 @@
 	fetching bool // a configuration is on its way from another VM
 	listed   bool // the list of upstreams was read once
 	storeUp  bool
-	storeBad time.Time
-	sequence uint64
-	toldAt   time.Time
-	prunedAt time.Time
-	progress map[fleet.UpstreamID]time.Time
+	// storeAway is the opposite, for other goroutines.
+	storeAway atomic.Bool
+	storeBad  time.Time
+	sequence  uint64
+	toldAt    time.Time
+	prunedAt  time.Time
+	progress  map[fleet.UpstreamID]time.Time
 }
 
 // heldLayers are the layers that an engine itself reported, newer than its entry
@@ -127,6 +130,7 @@
 	c.act(now, c.health.Tick(now, nil))
 	c.send(c.members.Tick(now))
 	c.sweep(now)
+	c.g.deputy.Store(c.mayDeputise(now))
 	c.tellPeers(now)
 	c.forgetPeers(now)
 	for _, gate := range c.gates {
@@ -250,17 +254,22 @@
 		c.roster.StoreAnswered(now)
 		if !c.storeUp {
 			c.storeUp = true
+			c.storeAway.Store(false)
 			c.g.log.Log(event.LogBack).Str("stream", "store").Int64("away_ms", now.Sub(c.storeBad).Milliseconds()).Send()
 		}
 	})
 }
 
+// storeIsUp reports whether the store answered last, for other goroutines.
+func (c *control) storeIsUp() bool { return !c.storeAway.Load() }
+
 func (c *control) storeFailed(call string, err error) {
 	c.g.stats.Count("store_calls_failed", "call", call)
 	c.post(func(now time.Time) {
 		c.roster.StoreFailed(now)
 		if c.storeUp {
 			c.storeUp, c.storeBad = false, now
+			c.storeAway.Store(true)
 			c.g.log.Log(event.LogUnavailable).Str("stream", "store").Str("call", call).Err(err).Send()
 		}
 	})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -76,6 +76,12 @@
 	// bounds are the platform's limits in force.
 	bounds atomic.Pointer[platform.Bounds]
 
+	// leading is set while this VM gives orders; token is the highest fencing token
+	// known here; deputy says whether this VM may lead without the store.
+	leading atomic.Bool
+	token   atomic.Uint64
+	deputy  atomic.Bool
+
 	// traffic is set by the first request of a caller.
 	traffic atomic.Bool
 
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -34,6 +34,10 @@
 	// orderWait is the time in which an order that was answered with "begun" or not
 	// at all must show before it is repeated. Orders may be carried out up to 12 s late.
 	orderWait = 2500 * time.Millisecond
+	// deputyAfter is how long the store must be away before a deputy leads, and
+	// peerFresh the age of news that counts in its choice.
+	deputyAfter = 1200 * time.Millisecond
+	peerFresh   = 1500 * time.Millisecond
 	// lostAfter is how long an engine must be dead before its layers are placed
 	// anew though its entry still stands.
 	lostAfter = 800 * time.Millisecond
@@ -50,14 +54,20 @@
 	loadEnds time.Time
 }
 
-// leader gives orders to the engines while it holds the partition.
+// leader gives orders to the engines while it holds the partition, or as deputy
+// while the store is away.
 type leader struct {
-	g          *Gateway
+	g *Gateway
+	// generation is that of the group, which orders the holders of the partition.
 	generation uint64
 	holds      bool
 	// until is when the membership ends unless it is renewed, on this VM's clock.
-	until  time.Time
-	fenced uint64 // generation that an engine refused
+	until time.Time
+	// acting is set while this VM leads as deputy.
+	acting bool
+	// fence is the fencing token of this VM's orders, 0 while it gives none.
+	fence  uint64
+	fenced uint64 // the highest token that an engine refused
 	mu     sync.Mutex
 	orders map[fleet.UpstreamID]*placed
 	// first is set once the first plan was made.
@@ -69,6 +79,39 @@
 	lastPlan  layout.Plan
 }
 
+// tokenShift leaves room below a group's generation for the takeovers of deputies,
+// which count up from it, so that a new holder's token is above all of them.
+const tokenShift = 20
+
+// seeToken notes a fencing token that some VM uses.
+func (g *Gateway) seeToken(token uint64) {
+	for {
+		old := g.token.Load()
+		if token <= old || g.token.CompareAndSwap(old, token) {
+			return
+		}
+	}
+}
+
+// mayDeputise reports whether this VM may lead while the store is away: nobody
+// who is heard leads or reaches the store, and it is the first of those heard.
+// Two deputies that do not hear each other use tokens of their own, and each order
+// names the number of orders that its engine must have accepted before.
+func (c *control) mayDeputise(now time.Time) bool {
+	if c.storeUp || now.Sub(c.storeBad) < deputyAfter {
+		return false
+	}
+	for id, p := range c.peers {
+		if now.Sub(p.heard) > peerFresh {
+			continue
+		}
+		if p.Leading || !p.StoreAway || id < c.g.settings.Self.ID {
+			return false
+		}
+	}
+	return true
+}
+
 // lead takes part in the choice of the leader and gives orders while this VM is it.
 func (g *Gateway) lead(ctx context.Context) {
 	l := &leader{g: g, orders: make(map[fleet.UpstreamID]*placed), deadSince: make(map[fleet.UpstreamID]time.Time)}
@@ -76,6 +119,7 @@
 	var renewAt time.Time
 	for pause(ctx, orderInterval) {
 		if g.stopper.stopping() {
+			g.leading.Store(false)
 			l.resign()
 			return
 		}
@@ -86,12 +130,31 @@
 			renewAt = now.Add(leadRenew)
 			l.renew(ctx, &touched)
 		}
-		if l.holds && time.Now().Before(l.until) && l.generation > l.fenced {
+		l.deputise()
+		active := (l.holds && time.Now().Before(l.until) || l.acting) && l.fence > l.fenced
+		g.leading.Store(active)
+		if active {
 			l.give(ctx)
 		}
 	}
 }
 
+// deputise begins or ends the lead without the store.
+func (l *leader) deputise() {
+	holding := l.holds && time.Now().Before(l.until)
+	switch {
+	case l.acting && (holding || l.g.control.storeIsUp()):
+		l.acting = false
+		l.g.log.Log(event.PlacementLeaseLost).Uint64("epoch", l.fence).Str("reason", "store is back").Send()
+	case !l.acting && !holding && l.g.deputy.Load():
+		l.acting = true
+		l.fence = l.g.token.Load() + 1
+		l.g.seeToken(l.fence)
+		l.forget()
+		l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fence).Str("reason", "deputy while the store is away").Send()
+	}
+}
+
 // renew joins the group or stays in it.
 func (l *leader) renew(ctx context.Context, touched *bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -121,12 +184,16 @@
 		l.holds = l.holds || p == leadPartition
 	}
 	l.until = began.Add(ttl)
+	if l.holds {
+		l.fence = l.generation << tokenShift
+		l.g.seeToken(l.fence)
+	}
 	if l.holds != held {
 		id := event.PlacementLeaseTaken
 		if held {
 			id = event.PlacementLeaseLost
 		}
-		l.g.log.Log(id).Uint64("epoch", l.generation).Str("reason", "group").Send()
+		l.g.log.Log(id).Uint64("epoch", l.fence).Str("reason", "group").Send()
 		l.forget()
 	}
 }
@@ -256,7 +323,7 @@
 	}
 	if !samePlan(plan, l.lastPlan) {
 		l.lastPlan = plan
-		line := l.g.log.Log(event.PlacementPlanned).Uint64("epoch", l.generation).Bool("fresh", fresh).Int("engines", len(engines))
+		line := l.g.log.Log(event.PlacementPlanned).Uint64("epoch", l.fence).Bool("fresh", fresh).Int("engines", len(engines))
 		for id, r := range plan {
 			line = line.Stringer(string(id), r)
 		}
@@ -297,7 +364,7 @@
 	l.mu.Lock()
 	l.orders[u.ID] = p
 	l.mu.Unlock()
-	fence := l.generation
+	fence := l.fence
 	l.g.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
 		defer cancel()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -117,6 +117,7 @@
 	for _, id := range s.Dead { // another VM's finding is a reason to look, not a verdict
 		c.act(now, c.health.Silent(now, id, nil))
 	}
+	c.g.seeToken(s.Token)
 	c.shareOthers()
 	if c.catalog == nil || s.Config > c.catalog.Version {
 		c.fetchConfig(s.VM)
@@ -163,7 +164,10 @@
 	}
 	c.toldAt = now
 	c.sequence++
-	s := &peering.State{VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence}
+	s := &peering.State{
+		VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence, StoreAway: !c.storeUp,
+		Leading: c.g.leading.Load(), Token: c.g.token.Load(),
+	}
 	if c.catalog != nil {
 		s.Config = c.catalog.Version
 	}
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -23,6 +23,12 @@
 	Started int64
 	// Sequence grows with each message of a start.
 	Sequence uint64
+	// StoreAway is set while the store does not answer this VM.
+	StoreAway bool
+	// Leading is set while the VM gives orders to engines. Token is the highest
+	// fencing token that it knows of.
+	Leading bool
+	Token   uint64
 	// Config is the version of the configuration in force.
 	Config   uint64
 	Promises []Promise
