Take engines that refuse work with free memory as draining

Own reports of layers now go before older entries and are shared between VMs, because entries do not change while the store is away. Ruled out: crashes, as their reports came.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -101,6 +101,7 @@
 	EntryRejected:    {"upstream_entry_rejected", zerolog.WarnLevel},
 	UpstreamChanged:  {"upstream_changed", zerolog.InfoLevel},
 	UpstreamSlow:     {"upstream_slow", zerolog.InfoLevel},
+	UpstreamRefusing: {"upstream_refusing", zerolog.WarnLevel},
 	PlacementOrdered: {"placement_ordered", zerolog.InfoLevel},
 
 	AttemptStarted: {"attempt_started", zerolog.DebugLevel},
--- a/pkg/event/events_fleet.go
+++ b/pkg/event/events_fleet.go
@@ -6,6 +6,7 @@
 	UpstreamReturned ID = 702
 	UpstreamChanged  ID = 703
 	UpstreamSlow     ID = 704
+	UpstreamRefusing ID = 705
 )
 
 // Rehearsal events.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -49,6 +49,7 @@
 	toldAt    time.Time
 	prunedAt  time.Time
 	progress  map[fleet.UpstreamID]time.Time
+	refusals  map[fleet.UpstreamID]*refusals
 }
 
 // heldLayers are the layers that an engine itself reported, newer than its entry
@@ -56,7 +57,8 @@
 type heldLayers struct {
 	layers fleet.LayerRange
 	born   time.Time
-	until  time.Time
+	// since is when the report came; entries read reportedFor later replace it.
+	since time.Time
 }
 
 // reportedFor is how long an engine's own report goes before its entry in the
@@ -76,6 +78,7 @@
 		gates: make(map[catalog.ServiceID]*gate), peers: make(map[fleet.VMID]*peerState),
 		slow: make(map[fleet.UpstreamID]float64), layers: make(map[fleet.UpstreamID]heldLayers),
 		storeUp: true, progress: make(map[fleet.UpstreamID]time.Time),
+		refusals: make(map[fleet.UpstreamID]*refusals),
 	}
 }
 
@@ -129,6 +132,7 @@
 	c.upstreamsChanged(now, c.roster.Tick(now, nil))
 	c.act(now, c.health.Tick(now, nil))
 	c.send(c.members.Tick(now))
+	c.endRefusals(now)
 	c.sweep(now)
 	c.g.deputy.Store(c.mayDeputise(now))
 	c.tellPeers(now)
@@ -175,6 +179,7 @@
 			delete(c.slow, u.ID)
 			delete(c.layers, u.ID)
 			delete(c.progress, u.ID)
+			delete(c.refusals, u.ID)
 		}
 		if change.Why == roster.Listed {
 			c.forgetHealth(u.ID)
@@ -216,7 +221,7 @@
 
 // held returns the layers of an engine: its own newer report before its entry.
 func (c *control) held(u roster.Upstream) fleet.LayerRange {
-	if h, ok := c.layers[u.ID]; ok && h.born.Equal(u.Born) && time.Now().Before(h.until) {
+	if h, ok := c.layers[u.ID]; ok && h.born.Equal(u.Born) {
 		return h.layers
 	}
 	return u.Layers
@@ -228,11 +233,25 @@
 	if !ok || !r.Born.IsZero() && !r.Born.Equal(u.Born) && r.Born.Before(u.Born) {
 		return
 	}
-	if r.Layers != c.held(u) {
-		c.layers[id] = heldLayers{layers: r.Layers, born: u.Born, until: now.Add(reportedFor)}
+	c.holds(now, u, r.Layers)
+	c.noteSlowness(id, r.Slowness)
+	c.judgeRefusals(now, u, r)
+}
+
+// holds notes the layers that an engine reported.
+func (c *control) holds(now time.Time, u roster.Upstream, layers fleet.LayerRange) {
+	if layers != c.held(u) {
+		c.layers[u.ID] = heldLayers{layers: layers, born: u.Born, since: now}
+		c.dirty = true
+	}
+}
+
+// entryRead drops an engine's own report that its entry in the store replaces.
+func (c *control) entryRead(now time.Time, id fleet.UpstreamID) {
+	if h, ok := c.layers[id]; ok && now.Sub(h.since) > reportedFor {
+		delete(c.layers, id)
 		c.dirty = true
 	}
-	c.noteSlowness(id, r.Slowness)
 }
 
 // slowChange is the relative change of an engine's slowness that is worth a new view.
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -163,6 +163,9 @@
 				}
 			}
 			changes = c.roster.Replace(now, list, nil)
+			for _, u := range list {
+				c.entryRead(now, u.ID)
+			}
 			c.listed, c.dirty = true, true
 		} else {
 			for _, e := range entries {
@@ -170,6 +173,7 @@
 					changes = c.roster.Remove(now, e.id, changes)
 				} else {
 					changes = c.roster.Put(e.upstream, changes)
+					c.entryRead(now, e.id)
 				}
 			}
 		}
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -300,7 +300,7 @@
 	g.gate.refused(id)
 	g.g.stats.Count("chain_refusals")
 	g.line(event.ChainRefused).Str("upstream", string(id)).Bool("wrong_instance", reply.WrongInstance).Send()
-	g.g.control.suspect(id)
+	g.g.control.refusedPart(id)
 }
 
 // passFailure gives a failure of the engine to the caller.
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -36,7 +36,7 @@
 	orderWait = 2500 * time.Millisecond
 	// deputyAfter is how long the store must be away before a deputy leads, and
 	// peerFresh the age of news that counts in its choice.
-	deputyAfter = 1200 * time.Millisecond
+	deputyAfter = 600 * time.Millisecond
 	peerFresh   = 1500 * time.Millisecond
 	// lostAfter is how long an engine must be dead before its layers are placed
 	// anew though its entry still stands.
@@ -102,7 +102,7 @@
 		return false
 	}
 	for id, p := range c.peers {
-		if now.Sub(p.heard) > peerFresh {
+		if now.Sub(p.heard) > peerFresh || p.Stopping {
 			continue
 		}
 		if p.Leading || !p.StoreAway || id < c.g.settings.Self.ID {
@@ -381,6 +381,9 @@
 		l.g.stats.Count("orders", "result", got.String())
 		l.g.log.Log(event.PlacementOrdered).Str("upstream", string(u.ID)).Stringer("layers", target).Stringer("held", report.Layers).
 			Uint64("epoch", fence).Int("expected", report.Orders).Str("result", got.String()).AnErr("cause", err).Send()
+		if got == platform.OrderBegun || got == platform.OrderUnknown {
+			l.watch(u, load)
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		switch got {
@@ -392,6 +395,30 @@
 	})
 }
 
+// watchMargin is added to the expected time of a load before the engine is asked.
+const watchMargin = 150 * time.Millisecond
+
+// watch asks an engine for its layers when its load should have ended: its entry
+// in the store shows them later, or not at all while the store is away.
+func (l *leader) watch(u roster.Upstream, load time.Duration) {
+	if !l.g.trafficSeen() {
+		return
+	}
+	l.g.tasks.Go(func() {
+		if !pause(l.g.running, load+watchMargin) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(l.g.running, orderTimeout)
+		defer cancel()
+		report, err := l.g.servers.Report(ctx, u.Address)
+		if err != nil {
+			l.g.control.suspect(u.ID)
+			return
+		}
+		l.g.control.post(func(now time.Time) { l.g.control.reported(now, u.ID, report) })
+	})
+}
+
 // errNoReport is the cause of an order that was not given.
 var errNoReport = errors.New("engine gave no report")
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -117,6 +117,18 @@
 	for _, id := range s.Dead { // another VM's finding is a reason to look, not a verdict
 		c.act(now, c.health.Silent(now, id, nil))
 	}
+	for _, id := range s.Refusing {
+		if _, ok := c.roster.Get(id); ok {
+			c.takeAsDraining(now, id, string(s.VM))
+		}
+	}
+	for _, h := range s.Held {
+		if u, ok := c.roster.Get(h.Upstream); ok && u.Born.UnixMilli() == h.Born {
+			if _, own := c.layers[h.Upstream]; !own {
+				c.holds(now, u, h.Layers)
+			}
+		}
+	}
 	c.g.seeToken(s.Token)
 	c.shareOthers()
 	if c.catalog == nil || s.Config > c.catalog.Version {
@@ -165,7 +177,7 @@
 	c.toldAt = now
 	c.sequence++
 	s := &peering.State{
-		VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence, StoreAway: !c.storeUp,
+		VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence, StoreAway: !c.storeUp, Stopping: c.g.stopper.stopping(),
 		Leading: c.g.leading.Load(), Token: c.g.token.Load(),
 	}
 	if c.catalog != nil {
@@ -177,6 +189,14 @@
 	for id := range v.dead {
 		s.Dead = append(s.Dead, id)
 	}
+	for id, r := range c.refusals { // only own findings, so that news does not go round for ever
+		if r.count >= refusalsToJudge && now.Before(r.until) {
+			s.Refusing = append(s.Refusing, id)
+		}
+	}
+	for id, h := range c.layers {
+		s.Held = append(s.Held, peering.Held{Upstream: id, Born: h.born.UnixMilli(), Layers: h.layers})
+	}
 	if len(c.slow) > 0 {
 		s.Slow = make(map[fleet.UpstreamID]float32, len(c.slow))
 		for id, factor := range c.slow {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -59,7 +59,10 @@
 	c.placeVMs(v)
 	duties := c.health
 	members := make([]roster.Upstream, 0, len(list))
-	for _, u := range list {
+	for i, u := range list {
+		u.Layers = c.held(u)
+		u.Draining = u.Draining || c.refusing(now, u.ID)
+		list[i] = u
 		v.byAddress[u.Address] = u.ID
 		if !u.Draining {
 			members = append(members, u)
@@ -101,7 +104,7 @@
 		}
 		servers = append(servers, chain.Server{
 			ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card],
-			Layers: c.held(u), Weight: c.health.Weight(u.ID), Slowness: max(c.slow[u.ID], 1),
+			Layers: u.Layers, Weight: c.health.Weight(u.ID), Slowness: max(c.slow[u.ID], 1),
 		})
 	}
 	return servers
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -25,6 +25,8 @@
 	Sequence uint64
 	// StoreAway is set while the store does not answer this VM.
 	StoreAway bool
+	// Stopping is set while the VM drains.
+	Stopping bool
 	// Leading is set while the VM gives orders to engines. Token is the highest
 	// fencing token that it knows of.
 	Leading bool
@@ -34,10 +36,23 @@
 	Promises []Promise
 	// Dead are upstreams that refuse connections or do not answer.
 	Dead []fleet.UpstreamID
+	// Refusing are upstreams that refuse work though they have room for it.
+	Refusing []fleet.UpstreamID
+	// Held are layers that engines reported themselves and that their entries in
+	// the store do not show yet.
+	Held []Held
 	// Slow are upstreams that work more slowly than usual, with their factor.
 	Slow map[fleet.UpstreamID]float32
 }
 
+// Held is what an engine reported of its layers.
+type Held struct {
+	Upstream fleet.UpstreamID
+	// Born is the engine's start in milliseconds.
+	Born   int64
+	Layers fleet.LayerRange
+}
+
 // ConfigWant asks for the configuration if it is newer than a version.
 type ConfigWant struct{ Version uint64 }
 
