A stopping VM leaves generations to the others, or takes those that end in time

Ruled out: streams taken before, which the platform excuses. Conclusion: kept; TestPlannedStopCutsNoRequest covers the refusal.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -47,7 +47,7 @@
 	c := &call{g: g, w: w, r: r, arrived: time.Now(), view: g.view.Load()}
 	if !g.stopper.enter() {
 		w.Header().Set("Connection", "close")
-		c.refuse(result.Draining, stopRetryAfter)
+		c.refuse(result.Draining, c.stopRetry())
 		return
 	}
 	defer g.stopper.leave()
@@ -83,8 +83,19 @@
 	// stopRetryAfter is when callers of a stopping VM come back, which is at once to
 	// another address.
 	stopRetryAfter = 100 * time.Millisecond
+	// restartRetryAfter is the same while all VMs stop: the first of them is back
+	// after a part of its grace time.
+	restartRetryAfter = 2500 * time.Millisecond
 )
 
+// stopRetry returns when callers of a stopping VM come back.
+func (c *call) stopRetry() time.Duration {
+	if c.view.othersAccept {
+		return stopRetryAfter
+	}
+	return spread(restartRetryAfter)
+}
+
 // prepare checks the request and fills in what routing needs.
 func (c *call) prepare() error {
 	cat := c.view.catalog
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -356,6 +356,14 @@
 	go func() { answer <- d.ask(http.MethodPost, "/gen/x", "last", "k", "prompt") }()
 	d.eventually("the stream runs", func() bool { return d.runs.Of("last") == 1 })
 	d.stop()
+	// A generation that could not end in the grace time is refused with the promise
+	// that it has not run, so that its caller goes to another VM at once.
+	n := 0
+	d.eventually("late generations are refused", func() bool {
+		n++
+		id := fmt.Sprintf("late%d", n)
+		return d.ask(http.MethodPost, "/gen/x", id, "k", "prompt").status == http.StatusServiceUnavailable && d.runs.Of(id) == 0
+	})
 	got := <-answer
 	is.NoErr(got.err)
 	checkStream(t, got.body, 1, 20)
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -66,6 +66,10 @@
 		c.refuse(result.NoUpstream, configRetryAfter)
 		return
 	}
+	if !c.g.stopper.takesGeneration(c.arrived, c.longest(service), c.view.othersAccept) {
+		c.refuse(result.Draining, c.stopRetry())
+		return
+	}
 	g := &generation{call: c, service: service, gate: gate, avoid: make(map[fleet.UpstreamID]bool)}
 	g.events.Continue(c.caller.LastEvent)
 	g.request = dispatch.Request{
@@ -88,6 +92,20 @@
 	g.serve(action.Chain)
 }
 
+// slowestToken is the time of a token on a busy chain: half of the longest pause
+// between events of two tokens that is on time, on the platform's sheets.
+const slowestToken = 30 * time.Millisecond
+
+// longest returns the time that the generation takes at most, as far as it can be
+// known before its start.
+func (c *call) longest(service *catalog.Service) time.Duration {
+	tokens := c.caller.MaxTokens
+	if tokens == 0 {
+		tokens = 2 * int(service.Engine.UsualAnswer)
+	}
+	return c.route.Objective + time.Duration(tokens)*slowestToken
+}
+
 func (c *call) patience() time.Duration {
 	return max(leastPatience, objectivesOfPatience*c.route.Objective, gapsOfPatience*c.route.GapObjective)
 }
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -11,12 +11,18 @@
 	// acceptShare is the part of the grace time in which a stopping VM still takes
 	// requests: callers keep addresses for up to three times addressTTL.
 	acceptShare = 0.5
+	// generationShare is the same for generations, which take seconds and must end
+	// within the grace time.
+	generationShare = 0.3
 	// exitMargin is kept before the platform's kill.
 	exitMargin = 700 * time.Millisecond
 	// leastStop is how long a stopping VM stays though it is idle, so that callers
 	// with an older answer of the directory meet a refusal that is safe to repeat
 	// and not a closed port.
 	leastStop = 3200 * time.Millisecond
+	// lastPlain is the time before its exit in which a stopping VM takes no request
+	// of a plain service though no other VM takes them: several times their work.
+	lastPlain = 700 * time.Millisecond
 	// stopPoll is the interval at which a stopping VM looks for its end.
 	stopPoll = 50 * time.Millisecond
 )
@@ -27,6 +33,10 @@
 	inFlight int
 	stop     bool
 	refuse   bool
+	// lastGeneration is when a stopping VM takes the last generation while others
+	// take them; end is when it exits at the latest.
+	lastGeneration time.Time
+	end            time.Time
 }
 
 func newStopper() *stopper { return &stopper{} }
@@ -54,10 +64,23 @@
 	return s.stop
 }
 
-func (s *stopper) begin() {
+func (s *stopper) begin(lastGeneration, end time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stop = true
+	s.lastGeneration, s.end = lastGeneration, end
+}
+
+// takesGeneration reports whether a generation may start now that takes up to a
+// time. A stopping VM leaves them to the others soon, but while there are no
+// others it takes those that end before it exits.
+func (s *stopper) takesGeneration(now time.Time, longest time.Duration, others bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stop || now.Before(s.lastGeneration) {
+		return true
+	}
+	return !others && now.Add(longest).Before(s.end)
 }
 
 func (s *stopper) refuseNew() {
@@ -78,16 +101,16 @@
 	began := time.Now()
 	grace := g.bounds.Load().Grace
 	g.log.Log(event.DrainStarted).Int("in_flight", g.stopper.running()).Int64("grace_ms", grace.Milliseconds()).Send()
-	g.stopper.begin()
+	end := began.Add(grace - exitMargin)
+	g.stopper.begin(began.Add(time.Duration(generationShare*float64(grace))), end)
 	g.control.post(func(now time.Time) {
 		g.control.members.Drain()
 		g.control.send(g.control.members.Tick(now))
 		g.control.dirty = true
 	})
 	acceptUntil := began.Add(time.Duration(acceptShare * float64(grace)))
-	end := began.Add(grace - exitMargin)
 	for now := began; now.Before(end); now = time.Now() {
-		if now.After(acceptUntil) {
+		if now.After(acceptUntil) && (g.view.Load().othersAccept || now.After(end.Add(-lastPlain))) {
 			g.stopper.refuseNew()
 		}
 		if g.stopper.running() == 0 && now.Sub(began) > leastStop {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -28,6 +28,8 @@
 	// addresses are where callers may connect.
 	addresses []string
 	peers     map[fleet.VMID]string
+	// othersAccept is set while another VM takes callers.
+	othersAccept bool
 	// listed is set once the list of upstreams was read.
 	listed bool
 	// dead are the upstreams ejected here.
@@ -143,6 +145,7 @@
 		v.vms++
 		if m.Status == membership.Alive && !m.Leaving {
 			v.addresses = append(v.addresses, m.Address)
+			v.othersAccept = true
 		}
 	}
 	slices.Sort(v.addresses)
