Explain a request from saved logs; serve metrics on the platform; times in milliseconds

Cause: on the platform an engineer has only logs and metrics, and the lines of one request fell into the same second.

--- a/pkg/cli/operate.go
+++ b/pkg/cli/operate.go
@@ -33,6 +33,7 @@
 
 type explainCommand struct {
 	command
+	Logs string `long:"logs" value-name:"PATH" description:"read saved logs instead of asking a VM: a file, a directory, or - for standard input"`
 	Args struct {
 		Request string `positional-arg-name:"REQUEST-ID" description:"value of the Cornelline-Request-Id header"`
 	} `positional-args:"yes" required:"yes"`
@@ -40,6 +41,9 @@
 
 // Execute explains a request.
 func (c *explainCommand) Execute([]string) error {
+	if c.Logs != "" {
+		return c.explainFromLogs()
+	}
 	data, err := c.call(http.MethodGet, "/v1/requests/"+url.PathEscape(c.Args.Request), nil, nil)
 	if err != nil {
 		return err
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -23,6 +23,12 @@
 	z zerolog.Logger
 }
 
+// timeFormat has milliseconds: decisions about a request follow each other within a second.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// zerolog takes the format of times from a variable of its own.
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns a Logger that writes JSON lines to w, each naming the VM.
 func New(w io.Writer, vm string, level zerolog.Level) *Logger {
 	return &Logger{z: zerolog.New(w).Level(level).With().Timestamp().Str("vm", vm).Logger()}
--- a/pkg/gateway/directory.go
+++ b/pkg/gateway/directory.go
@@ -59,3 +59,27 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(platform.Resolution{Addresses: addresses, TTLSeconds: ttl.Seconds()}) // a caller that left reads nothing
 }
+
+// serveMetrics writes counters and histograms as text.
+func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	v := g.view.Load()
+	g.stats.Gauge("vms", int64(v.vms))
+	g.stats.Gauge("upstreams", int64(len(v.list)))
+	g.stats.Gauge("upstreams_out", int64(len(v.dead)))
+	g.stats.Gauge("in_flight", int64(g.stopper.running()))
+	g.stats.Gauge("connections_opened", int64(g.pool.Opened()))
+	g.stats.Gauge("log_lines_dropped", int64(g.output.Dropped()))
+	storeUp := int64(0)
+	if g.control.storeIsUp() {
+		storeUp = 1
+	}
+	g.stats.Gauge("store_up", storeUp)
+	if v.catalog != nil {
+		g.stats.Gauge("config_version", int64(v.catalog.Version))
+	}
+	for id, gate := range v.gates {
+		g.stats.Gauge("waiting", int64(gate.waitingCount()), "service", string(id))
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_ = g.stats.WriteText(w, "") // a reader that left reads nothing
+}
--- a/pkg/gateway/gate.go
+++ b/pkg/gateway/gate.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// waitingCount returns the number of requests that wait.
+func (g *gate) waitingCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Waiting()
+}
+
 // promises returns what this VM has promised, for the other VMs.
 func (g *gate) promises(out []peering.Promise) []peering.Promise {
 	g.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -88,10 +88,10 @@
 	retryMu sync.Mutex
 	retries *retry.Budget
 
-	front, directory, ready *khttp.Server
-	running                 context.Context
-	cancel                  context.CancelFunc
-	tasks                   sync.WaitGroup
+	front, directory, ready, metrics *khttp.Server
+	running                          context.Context
+	cancel                           context.CancelFunc
+	tasks                            sync.WaitGroup
 }
 
 // New returns a gateway that listens on its addresses but does not serve yet.
@@ -134,6 +134,11 @@
 	if g.ready, err = g.newServer(g.settings.ReadyAddress, http.HandlerFunc(g.serveReady)); err != nil {
 		return err
 	}
+	if g.settings.MetricsAddress != "" {
+		if g.metrics, err = g.newServer(g.settings.MetricsAddress, http.HandlerFunc(g.serveMetrics)); err != nil {
+			return err
+		}
+	}
 	if g.settings.DirectoryAddress == "" {
 		return nil
 	}
@@ -184,8 +189,8 @@
 	g.log.Log(event.Started).Str("address", g.settings.Self.Address).
 		Str("data_centre", string(g.settings.Self.DataCentre)).Bool("first_start", g.settings.FirstStart).
 		Int("pid", os.Getpid()).Send()
-	failed := make(chan error, 3)
-	for _, s := range []*khttp.Server{g.front, g.ready, g.directory} {
+	failed := make(chan error, 4)
+	for _, s := range []*khttp.Server{g.front, g.ready, g.directory, g.metrics} {
 		if s == nil {
 			continue
 		}
