--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -263,10 +263,25 @@
 	if factor > old*(1+slowChange) || factor < old/(1+slowChange) {
 		c.g.log.Log(event.UpstreamSlow).Str("upstream", string(id)).Float64("factor", factor).Float64("before", old).Send()
 		c.slow[id] = factor
+		if factor == 1 {
+			delete(c.slow, id)
+		}
 		c.dirty = true
 	}
 }
 
+// takeSlowness replaces what is known of slow engines by the leader's findings.
+func (c *control) takeSlowness(slow map[fleet.UpstreamID]float32) {
+	for id := range c.slow {
+		if _, still := slow[id]; !still {
+			c.noteSlowness(id, 1)
+		}
+	}
+	for id, factor := range slow {
+		c.noteSlowness(id, float64(factor))
+	}
+}
+
 // storeAnswered and storeFailed follow the store's health.
 func (c *control) storeAnswered() {
 	c.post(func(now time.Time) {
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -34,6 +34,9 @@
 	// orderWait is the time in which an order that was answered with "begun" or not
 	// at all must show before it is repeated. Orders may be carried out up to 12 s late.
 	orderWait = 2500 * time.Millisecond
+	// askInterval is the interval at which the leader asks all engines for their
+	// state. Reports are priced; a slow engine holds up all chains through it.
+	askInterval = time.Second
 	// deputyAfter is how long the store must be away before a deputy leads, and
 	// peerFresh the age of news that counts in its choice.
 	deputyAfter = 600 * time.Millisecond
@@ -76,6 +79,7 @@
 	changedAt time.Time
 	count     int
 	deadSince map[fleet.UpstreamID]time.Time
+	askedAt   time.Time
 	lastPlan  layout.Plan
 }
 
@@ -135,6 +139,7 @@
 		g.leading.Store(active)
 		if active {
 			l.give(ctx)
+			l.askAll(ctx)
 		}
 	}
 }
@@ -271,6 +276,32 @@
 	}
 }
 
+// askAll asks every engine for its state when it is time: how fast it works, what
+// it holds and how much memory is in use.
+func (l *leader) askAll(ctx context.Context) {
+	if now := time.Now(); now.Sub(l.askedAt) < askInterval || !l.g.trafficSeen() {
+		return
+	} else {
+		l.askedAt = now
+	}
+	v := l.g.view.Load()
+	for _, u := range v.list {
+		if v.gates[u.Service] == nil || v.dead[u.ID] {
+			continue
+		}
+		l.g.tasks.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			report, err := l.g.servers.RegularReport(ctx, u.Address)
+			if err != nil {
+				l.g.control.suspect(u.ID)
+				return
+			}
+			l.g.control.post(func(now time.Time) { l.g.control.reported(now, u.ID, report) })
+		})
+	}
+}
+
 // lost reports whether an engine is dead for so long that its layers are placed
 // elsewhere. Callers hold the lock.
 func (l *leader) lost(now time.Time, v *view, id fleet.UpstreamID) bool {
@@ -377,7 +408,9 @@
 		if report.Busy || report.Layers == target {
 			return
 		}
-		got, err := l.g.servers.Place(ctx, u.Address, u.ID, platform.Order{Layers: target, Fence: fence, Expected: report.Orders})
+		got, err := l.g.servers.Place(ctx, u.Address, u.ID, platform.Order{
+			Layers: target, Fence: fence, Expected: report.Orders, Cut: l.g.trafficSeen(),
+		})
 		l.g.stats.Count("orders", "result", got.String())
 		l.g.log.Log(event.PlacementOrdered).Str("upstream", string(u.ID)).Stringer("layers", target).Stringer("held", report.Layers).
 			Uint64("epoch", fence).Int("expected", report.Orders).Str("result", got.String()).AnErr("cause", err).Send()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -109,10 +109,8 @@
 		return
 	}
 	c.peers[s.VM] = &peerState{State: *s, heard: now}
-	for id, factor := range s.Slow {
-		if c.slow[id] != float64(factor) {
-			c.noteSlowness(id, float64(factor))
-		}
+	if s.Leading && !c.g.leading.Load() {
+		c.takeSlowness(s.Slow)
 	}
 	for _, id := range s.Dead { // another VM's finding is a reason to look, not a verdict
 		c.act(now, c.health.Silent(now, id, nil))
@@ -197,7 +195,7 @@
 	for id, h := range c.layers {
 		s.Held = append(s.Held, peering.Held{Upstream: id, Born: h.born.UnixMilli(), Layers: h.layers})
 	}
-	if len(c.slow) > 0 {
+	if s.Leading {
 		s.Slow = make(map[fleet.UpstreamID]float32, len(c.slow))
 		for id, factor := range c.slow {
 			s.Slow[id] = float32(factor)
--- a/pkg/gateway/refusals.go
+++ b/pkg/gateway/refusals.go
@@ -10,13 +10,16 @@
 )
 
 const (
-	// refusalsToJudge is the number of refusals within refusalWindow after which an
-	// engine that reports free memory is taken as draining. One or two may come
-	// from memory that was freed meanwhile.
+	// refusalsToJudge is the number of refusals after which an engine that reports
+	// free memory is taken as draining. Each counts in its own right only while the
+	// next comes within refusalWindow.
 	refusalsToJudge = 3
 	refusalWindow   = 2 * time.Second
 	// roomShare is the part of its memory below which an engine has room.
-	roomShare = 0.7
+	roomShare = 0.5
+	// reportLag is the age of a report's values. A refusal counts as one in spite of
+	// free memory when it comes that long after a report that showed room.
+	reportLag = 300 * time.Millisecond
 	// refusingFor is how long an engine counts as draining; its entry in the store
 	// says so itself within that time unless the store is away.
 	refusingFor = 5 * time.Second
@@ -25,7 +28,9 @@
 // refusals are those of one engine.
 type refusals struct {
 	count int
-	first time.Time
+	last  time.Time
+	// roomAt is when a report first showed room since the refusals began.
+	roomAt time.Time
 	// until is the end of the time in which the engine counts as draining.
 	until time.Time
 }
@@ -35,13 +40,14 @@
 	c.post(func(now time.Time) {
 		r := c.refusals[id]
 		if r == nil {
-			r = &refusals{first: now}
+			r = &refusals{}
 			c.refusals[id] = r
 		}
-		if now.Sub(r.first) > refusalWindow {
-			r.count, r.first = 0, now
+		if now.Sub(r.last) > refusalWindow {
+			r.count, r.roomAt = 0, time.Time{}
 		}
 		r.count++
+		r.last = now
 		c.act(now, c.health.Silent(now, id, nil))
 	})
 }
@@ -50,19 +56,25 @@
 // shows room for it: while the store is away its entry does not say so.
 func (c *control) judgeRefusals(now time.Time, u roster.Upstream, report platform.Report) {
 	r := c.refusals[u.ID]
-	if r == nil || r.count < refusalsToJudge || now.Sub(r.first) > refusalWindow || now.Before(r.until) {
+	if r == nil || now.Before(r.until) {
 		return
 	}
 	if report.Busy || report.KVTotal <= 0 || report.KVUsed > roomShare*report.KVTotal || report.Layers.Len() == 0 {
+		r.roomAt = time.Time{}
 		return
 	}
-	c.takeAsDraining(now, u.ID, "own requests")
+	if r.roomAt.IsZero() {
+		r.roomAt = now
+	}
+	if r.count >= refusalsToJudge && r.last.After(r.roomAt.Add(reportLag)) {
+		c.takeAsDraining(now, u.ID, "own requests")
+	}
 }
 
 func (c *control) takeAsDraining(now time.Time, id fleet.UpstreamID, source string) {
 	r := c.refusals[id]
 	if r == nil {
-		r = &refusals{first: now}
+		r = &refusals{last: now}
 		c.refusals[id] = r
 	}
 	if !now.Before(r.until) {
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -41,7 +41,8 @@
 	// Held are layers that engines reported themselves and that their entries in
 	// the store do not show yet.
 	Held []Held
-	// Slow are upstreams that work more slowly than usual, with their factor.
+	// Slow are upstreams that work more slowly than usual, with their factor. Only
+	// the leader, which asks all engines, says so.
 	Slow map[fleet.UpstreamID]float32
 }
 
