--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -236,6 +236,8 @@
 
 func (l *leader) giveService(ctx context.Context, now time.Time, v *view, id catalog.ServiceID, service *catalog.Service) {
 	engines := make([]layout.Engine, 0, len(v.list))
+	// serving are the engines with what they hold now.
+	serving := make([]layout.Engine, 0, len(v.list))
 	byID := make(map[fleet.UpstreamID]roster.Upstream, len(v.list))
 	l.mu.Lock()
 	for _, u := range v.list {
@@ -243,9 +245,10 @@
 			continue
 		}
 		byID[u.ID] = u
-		engines = append(engines, layout.Engine{
-			ID: u.ID, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card], Holds: l.expected(now, u),
-		})
+		x := layout.Engine{ID: u.ID, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card], Holds: u.Layers}
+		serving = append(serving, x)
+		x.Holds = l.expected(now, u)
+		engines = append(engines, x)
 	}
 	l.mu.Unlock()
 	plan, ok := l.plan(now, service.Engine, engines)
@@ -272,7 +275,11 @@
 	}
 	sortByLoad(wanted, plan)
 	for _, u := range wanted[:min(limit, len(wanted))] {
-		l.order(ctx, now, service.Engine, u, plan[u.ID])
+		target := plan[u.ID]
+		// Waiting for the requests that pass takes as long as a generation. Where
+		// layers are missing, few chains are left to wait for.
+		disjoint := target.First >= u.Layers.End || target.End <= u.Layers.First
+		l.order(ctx, now, service.Engine, u, target, disjoint && !layout.Whole(service.Engine, serving, u.DataCentre))
 	}
 }
 
@@ -389,7 +396,7 @@
 
 // order asks an engine for its state and orders it to hold a range, in a
 // goroutine of its own, so that a silent engine delays no other.
-func (l *leader) order(ctx context.Context, now time.Time, e *catalog.Engine, u roster.Upstream, target fleet.LayerRange) {
+func (l *leader) order(ctx context.Context, now time.Time, e *catalog.Engine, u roster.Upstream, target fleet.LayerRange, cut bool) {
 	load := time.Duration(float64(e.Load) * float64(target.Len()) / float64(max(e.Layers, 1)))
 	p := &placed{born: u.Born, target: target, since: now, loadEnds: now.Add(load + orderTimeout)}
 	l.mu.Lock()
@@ -409,7 +416,7 @@
 			return
 		}
 		got, err := l.g.servers.Place(ctx, u.Address, u.ID, platform.Order{
-			Layers: target, Fence: fence, Expected: report.Orders, Cut: l.g.trafficSeen(),
+			Layers: target, Fence: fence, Expected: report.Orders, Cut: cut,
 		})
 		l.g.stats.Count("orders", "result", got.String())
 		l.g.log.Log(event.PlacementOrdered).Str("upstream", string(u.ID)).Stringer("layers", target).Stringer("held", report.Layers).
--- a/pkg/layout/repair.go
+++ b/pkg/layout/repair.go
@@ -154,3 +154,8 @@
 	}
 	return true
 }
+
+// Whole reports whether the engines of a data centre hold every layer.
+func Whole(e *catalog.Engine, engines []Engine, dc fleet.DataCentreID) bool {
+	return newPlanner(e).firstGap(inCentre(engines, dc)).Len() == 0
+}
