Remove pkg/share: engine subsets and fleet-wide team rates that no daemon ran

Cause: five parts were built and not run by any daemon; these two are needless on the users' platform, whose configuration has no team rates and whose chains need every engine of a data centre. Result: make test of the packages concerned passes.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -73,7 +73,6 @@
 		printTCP(all, o)
 	}
 	printMemory(o)
-	printShare()
 	if o.Events {
 		printEvents(o.Seed)
 	}
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -11,7 +11,6 @@
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/quarantine"
-	"github.com/cornelline/cornelline/pkg/share"
 	"github.com/cornelline/cornelline/pkg/spread"
 )
 
@@ -37,8 +36,6 @@
 	KindSnapshot
 	KindStatus
 	KindNotices
-	KindAsk
-	KindGrant
 	KindExplain
 	KindExplanation
 	KindQuarantine
@@ -76,8 +73,6 @@
 	KindSnapshot:     reflect.TypeFor[spread.Snapshot](),
 	KindStatus:       reflect.TypeFor[spread.Status](),
 	KindNotices:      reflect.TypeFor[spread.Notices](),
-	KindAsk:          reflect.TypeFor[share.Ask](),
-	KindGrant:        reflect.TypeFor[share.Grant](),
 	KindExplain:      reflect.TypeFor[Explain](),
 	KindExplanation:  reflect.TypeFor[Explanation](),
 	KindQuarantine:   reflect.TypeFor[quarantine.Message](),
