layout: neighbours take a gap; runs leave a draining server before its chain stalls

Change: the engines beside a gap take its layers when they keep memory for 36 usual generations, or 14 when nothing else is left; runs through a server that has drained for 0.7 of its drain time go on with another chain. Conclusion: kept; TestRepairExtendsNeighbours holds the first.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -50,6 +50,8 @@
 	prunedAt  time.Time
 	progress  map[fleet.UpstreamID]time.Time
 	refusals  map[fleet.UpstreamID]*refusals
+	// drains holds when upstreams announced their end, or their entry was removed.
+	drains map[fleet.UpstreamID]time.Time
 }
 
 // heldLayers are the layers that an engine itself reported, newer than its entry
@@ -78,7 +80,7 @@
 		gates: make(map[catalog.ServiceID]*gate), peers: make(map[fleet.VMID]*peerState),
 		slow: make(map[fleet.UpstreamID]float64), layers: make(map[fleet.UpstreamID]heldLayers),
 		storeUp: true, progress: make(map[fleet.UpstreamID]time.Time),
-		refusals: make(map[fleet.UpstreamID]*refusals),
+		refusals: make(map[fleet.UpstreamID]*refusals), drains: make(map[fleet.UpstreamID]time.Time),
 	}
 }
 
@@ -143,9 +145,17 @@
 	if now.Sub(c.prunedAt) >= time.Second {
 		c.prunedAt = now
 		c.g.pool.Prune()
+		for id, since := range c.drains {
+			if now.Sub(since) > drainsKept {
+				delete(c.drains, id)
+			}
+		}
 	}
 }
 
+// drainsKept is how long an end is remembered: longer than a generation lasts.
+const drainsKept = time.Minute
+
 // configRead takes in a configuration from the store or from another VM.
 func (c *control) configRead(data []byte, source string) {
 	compiled, err := platform.DecodeConfig(data)
@@ -181,8 +191,14 @@
 			delete(c.progress, u.ID)
 			delete(c.refusals, u.ID)
 		}
-		if change.Why == roster.Listed {
+		switch {
+		case change.Why == roster.Listed:
 			c.forgetHealth(u.ID)
+			delete(c.drains, u.ID)
+		case change.Gone || change.Why == roster.Drains:
+			if _, known := c.drains[u.ID]; !known {
+				c.drains[u.ID] = now
+			}
 		}
 	}
 }
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -11,6 +11,10 @@
 	"github.com/cornelline/cornelline/pkg/fleet"
 )
 
+// errDraining ends a run on a chain with a server that is about to end, so that
+// another run continues it before the chain stalls.
+var errDraining = errors.New("server of the chain is about to end")
+
 // errStalled ends a run whose chain makes no progress; another run may continue it.
 var errStalled = errors.New("chain makes no progress")
 
@@ -85,7 +89,12 @@
 		}
 	}
 	dead := c.g.view.Load().dead
+	ending := c.ending(now)
 	for _, r := range runs {
+		if r.movable && len(ending) > 0 && passesThrough(r, ending) {
+			r.cancel(errDraining)
+			continue
+		}
 		last := time.Unix(0, r.lastEvent.Load())
 		still := now.Sub(last)
 		if r.events.Load() == 0 {
@@ -105,6 +114,38 @@
 	}
 }
 
+// drainShare is the part of the drain time after which runs leave a draining
+// server. Most generations have ended by then.
+const drainShare = 0.7
+
+// ending returns the servers that have drained for so long that they may end soon.
+func (c *control) ending(now time.Time) map[fleet.UpstreamID]bool {
+	var list map[fleet.UpstreamID]bool
+	after := time.Duration(drainShare * float64(c.g.bounds.Load().Drain))
+	for id, since := range c.drains {
+		if now.Sub(since) < after {
+			continue
+		}
+		if list == nil {
+			list = make(map[fleet.UpstreamID]bool)
+		}
+		list[id] = true
+	}
+	return list
+}
+
+// passesThrough reports whether a server other than the first of a run's chain is
+// among those ending. The end of the first one shows at once on its connection;
+// that of another one stalls the chain.
+func passesThrough(r *run, ending map[fleet.UpstreamID]bool) bool {
+	for _, stage := range r.chain.Stages[1:] {
+		if ending[stage.Server] {
+			return true
+		}
+	}
+	return false
+}
+
 // suspectStages probes the servers of a chain on which nothing made progress
 // since the chain's last event.
 func (c *control) suspectStages(now time.Time, r *run, last time.Time) {
--- a/pkg/layout/layout_test.go
+++ b/pkg/layout/layout_test.go
@@ -127,3 +127,40 @@
 	plan := layout.Fresh(e, engines)
 	is.Equal(layout.Repair(e, hold(engines, plan)), plan)
 }
+
+// TestRepairExtendsNeighbours covers the loss of engines in a data centre without
+// enough second copies: their neighbours take the layers, and nobody else moves.
+func TestRepairExtendsNeighbours(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	engines := testEngines(e)
+	plan := layout.Fresh(e, engines)
+	left := hold(engines, plan, "a-l4-0", "a-l4-7")
+	repaired := layout.Repair(e, left)
+	held := make([]bool, e.Layers)
+	moved, loaded := 0, 0
+	for _, x := range left {
+		if x.DataCentre != "a" {
+			is.Equal(repaired[x.ID], plan[x.ID])
+			continue
+		}
+		r := repaired[x.ID]
+		is.True(float64(r.Len())*e.LayerMB < x.Card.MemoryMB)
+		for l := r.First; l < r.End; l++ {
+			held[l] = true
+			if l < x.Holds.First || l >= x.Holds.End {
+				loaded++
+			}
+		}
+		if r != x.Holds {
+			moved++
+		}
+	}
+	for l, ok := range held {
+		if !ok {
+			t.Errorf("layer %d is missing after the repair", l)
+		}
+	}
+	is.True(moved <= 4)
+	is.Equal(loaded, plan["a-l4-0"].Len()+plan["a-l4-7"].Len()) // only what was lost
+}
--- a/pkg/layout/repair.go
+++ b/pkg/layout/repair.go
@@ -47,14 +47,15 @@
 		if gap.Len() == 0 {
 			break
 		}
-		i := p.pickFor(gap, state)
-		if i < 0 {
+		if !p.fill(gap, state) {
 			p.reviseCentre(engines, plan)
 			return
 		}
-		n := min(gap.Len(), p.most(state[i].Card, leastGenerations*p.tokens))
-		state[i].Holds = fleet.LayerRange{First: gap.First, End: gap.First + n}
-		plan[state[i].ID] = state[i].Holds
+	}
+	for _, e := range state {
+		if e.Holds.Len() > 0 {
+			plan[e.ID] = e.Holds
+		}
 	}
 	for i := range state {
 		if state[i].Holds.Len() > 0 {
@@ -67,6 +68,65 @@
 	}
 }
 
+// fill gives at least the first layers of a gap to an engine. An empty engine is
+// best. Next come the neighbours of the gap, if they can take all of it and keep
+// enough memory: that loads the fewest layers and gives none up. Then come second
+// copies, and at last neighbours that are left with little memory.
+func (p *planner) fill(gap fleet.LayerRange, state []Engine) bool {
+	i := p.pickFor(gap, state)
+	if i >= 0 && state[i].Holds.Len() == 0 {
+		p.take(gap, &state[i])
+		return true
+	}
+	if p.extend(gap, state, spareGenerations*p.tokens) {
+		return true
+	}
+	if i >= 0 {
+		p.take(gap, &state[i])
+		return true
+	}
+	return p.extend(gap, state, leastGenerations*p.tokens)
+}
+
+// take moves an engine to the first layers of a gap.
+func (p *planner) take(gap fleet.LayerRange, e *Engine) {
+	n := min(gap.Len(), p.most(e.Card, leastGenerations*p.tokens))
+	e.Holds = fleet.LayerRange{First: gap.First, End: gap.First + n}
+}
+
+// extend lets the engines beside a gap take it, so that each keeps memory for a
+// number of tokens. It reports whether they can.
+func (p *planner) extend(gap fleet.LayerRange, state []Engine, tokens float64) bool {
+	below, above, roomBelow, roomAbove := -1, -1, 0, 0
+	for i, e := range state {
+		if e.Holds.Len() == 0 {
+			continue
+		}
+		room := p.most(e.Card, tokens) - e.Holds.Len()
+		if e.Holds.End == gap.First && room > roomBelow {
+			below, roomBelow = i, room
+		}
+		if e.Holds.First == gap.End && room > roomAbove {
+			above, roomAbove = i, room
+		}
+	}
+	if roomBelow+roomAbove < gap.Len() {
+		return false
+	}
+	// Each takes a part in proportion to its room.
+	up := min(roomBelow, (gap.Len()*roomBelow+roomBelow+roomAbove-1)/(roomBelow+roomAbove))
+	if rest := gap.Len() - up; rest > roomAbove {
+		up = gap.Len() - roomAbove
+	}
+	if up > 0 {
+		state[below].Holds.End += up
+	}
+	if up < gap.Len() {
+		state[above].Holds.First -= gap.Len() - up
+	}
+	return true
+}
+
 // reviseCentre plans a data centre anew if that gives it a chain of its own. What
 // it holds stays otherwise: it may complete chains of other data centres.
 func (p *planner) reviseCentre(engines []Engine, plan Plan) {
