Refuse a request under which three upstreams ended

Change: fingerprints of team, path and body, told to all VMs, refuse it for 30 s. Ruled out: permits as in pkg/quarantine, which hold innocent streams up after each crash. Before: no check.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -27,6 +27,7 @@
 	RetryDenied      ID = 208
 	ChainRefused     ID = 209
 	StreamBroken     ID = 210
+	RequestSuspected ID = 211
 )
 
 // Pipeline events.
@@ -93,6 +94,7 @@
 	RetryDenied:      {"retry_denied", zerolog.InfoLevel},
 	ChainRefused:     {"chain_refused", zerolog.InfoLevel},
 	StreamBroken:     {"stream_broken", zerolog.WarnLevel},
+	RequestSuspected: {"request_suspected", zerolog.WarnLevel},
 
 	LinesDropped:     {"lines_dropped", zerolog.WarnLevel},
 	Reloaded:         {"settings_reloaded", zerolog.InfoLevel},
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -62,6 +62,10 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.due, errDue)
 	defer cancel()
 	c.ctx = ctx
+	if g.crashes.suspected(c.arrived, c.fingerprint()) {
+		c.refuse(result.Quarantined, crashRetryAfter)
+		return
+	}
 	service := c.view.catalog.Services[c.route.Pick(random())]
 	switch {
 	case service == nil:
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -85,6 +85,8 @@
 	// traffic is set by the first request of a caller.
 	traffic atomic.Bool
 
+	crashes *crashes
+
 	retryMu sync.Mutex
 	retries *retry.Budget
 
@@ -100,7 +102,7 @@
 	g := &Gateway{
 		settings: settings, log: log, output: output, stats: stats.New(), started: time.Now(),
 		store: platform.NewStore(settings.Store.Address, dial), servers: platform.NewServers(dial),
-		stopper: newStopper(), streams: newStreams(),
+		stopper: newStopper(), streams: newStreams(), crashes: newCrashes(),
 	}
 	g.pool = exchange.New(exchange.Config{
 		Dial: dial, KeepIdle: keepIdle, MaxIdle: maxIdle, Now: time.Now,
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -400,6 +400,7 @@
 	if ctx.Err() != nil {
 		return unknown, context.Cause(ctx)
 	}
+	g.crashed(r.chain.Stages[0].Server)
 	for _, stage := range r.chain.Stages { // any of them may have ended
 		g.g.control.suspect(stage.Server)
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -37,6 +37,10 @@
 
 // receive hands a peer's message to the control goroutine.
 func (g *Gateway) receive(_ wire.Peer, m wire.Message) {
+	if crash, ok := m.(*peering.Crash); ok {
+		g.crashes.add(time.Now(), fingerprint(crash.Request), crash.Upstream)
+		return
+	}
 	g.control.post(func(now time.Time) {
 		if state, ok := m.(*peering.State); ok {
 			g.control.heard(now, state)
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -266,6 +266,7 @@
 		return notRun, err
 	}
 	c.g.control.failed(id)
+	c.crashed(id)
 	return unknown, err
 }
 
