--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -88,7 +88,10 @@
 	crashes *crashes
 
 	retryMu sync.Mutex
+	// retries are for requests that failed, moves for runs that leave a server which
+	// is about to end: these could stay and must not use up what failures need.
 	retries *retry.Budget
+	moves   *retry.Budget
 
 	front, directory, ready, metrics *khttp.Server
 	running                          context.Context
@@ -110,7 +113,8 @@
 	})
 	g.view.Store(emptyView())
 	g.bounds.Store(&settings.Bounds)
-	g.retries = retry.New(g.retryConfig(1))
+	g.retries = retry.New(g.retryConfig(1, 1-moveShare))
+	g.moves = retry.New(g.retryConfig(1, moveShare))
 	g.running, g.cancel = context.WithCancel(context.Background())
 	g.control = newControl(g)
 	if err := g.listen(); err != nil {
@@ -219,18 +223,37 @@
 	return err
 }
 
-// retryConfig returns this VM's part of the retry budget that all VMs share.
-func (g *Gateway) retryConfig(vms int) retry.Config {
+// retryConfig returns a share of this VM's part of the retry budget that all VMs
+// share.
+func (g *Gateway) retryConfig(vms int, share float64) retry.Config {
 	b := g.bounds.Load()
-	slack := retrySafety * b.RetrySlack / float64(vms)
-	// Half of the slack is a burst, half accrues over the window: together they
-	// never exceed the slack in any window.
-	return retry.Config{Ratio: retrySafety * b.RetryRatio, Burst: slack / 2, MinPerSecond: slack / 2 / max(b.RetryWindow.Seconds(), 1)}
+	slack := retrySafety * share * b.RetrySlack / float64(vms)
+	// What is saved as a burst and what accrues over the window together never
+	// exceed the slack in any window.
+	return retry.Config{
+		Ratio: retrySafety * share * b.RetryRatio, Burst: burstShare * slack,
+		MinPerSecond: (1 - burstShare) * slack / max(b.RetryWindow.Seconds(), 1),
+	}
+}
+
+// setRetryLimits follows the number of VMs and the bounds.
+func (g *Gateway) setRetryLimits(vms int) {
+	g.retryMu.Lock()
+	defer g.retryMu.Unlock()
+	g.retries.SetConfig(g.retryConfig(vms, 1-moveShare))
+	g.moves.SetConfig(g.retryConfig(vms, moveShare))
 }
 
-// retrySafety is the part of the budget that is used: the number of VMs is known
-// with a lag.
-const retrySafety = 0.8
+const (
+	// retrySafety is the part of the budget that is used: the number of VMs is known
+	// with a lag.
+	retrySafety = 0.85
+	// moveShare is the part of it for runs that leave a server.
+	moveShare = 0.35
+	// burstShare is the part of the slack that is saved for the loss of a server,
+	// which breaks all streams through it at once.
+	burstShare = 0.75
+)
 
 // random returns a number in [0, 1).
 func random() float64 { return rand.Float64() }
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -143,8 +143,12 @@
 // serve runs the generation on a chain, and on further ones if it fails.
 func (g *generation) serve(c *chain.Chain) {
 	for {
-		got, why := g.run(c)
+		got, next, why := g.run(c)
 		g.gate.release(g.request, c)
+		if next != nil && got != unknown { // the run ended before it could be moved
+			g.gate.release(g.request, next)
+			next = nil
+		}
 		switch got {
 		case answered:
 			g.g.earnRepeat(g.service.ID)
@@ -157,11 +161,15 @@
 		case unknown:
 			g.runs++
 		}
-		next := g.next(got)
+		if next == nil {
+			next = g.next(got)
+		}
 		if next == nil {
 			g.giveUp(got, why)
 			return
 		}
+		g.line(event.RequestRetried).Str("reason", repeatReason(got)).AnErr("cause", why).Str("after_event", g.events.LastID()).
+			Int("runs", g.runs).Int("refusals", g.refusals).Send()
 		c = next
 	}
 }
@@ -213,8 +221,6 @@
 	for {
 		c, failure := g.gate.again(g.request, g.avoid)
 		if failure == chain.NoFailure {
-			g.line(event.RequestRetried).Str("reason", repeatReason(got)).Str("after_event", g.events.LastID()).
-				Int("runs", g.runs).Int("refusals", g.refusals).Send()
 			return c
 		}
 		if len(g.avoid) > 0 { // a server that refused once may have room again
@@ -239,11 +245,19 @@
 	return "unknown"
 }
 
-// run runs the generation on one chain.
-func (g *generation) run(c *chain.Chain) (outcome, error) {
+// run runs the generation on one chain. It also returns the chain that was reserved
+// when the run was ended for another one.
+func (g *generation) run(c *chain.Chain) (outcome, *chain.Chain, error) {
+	r := &run{chain: c, generation: g, movable: g.route.Resumable && g.runs+1 < max(g.route.Attempts, 1)}
+	got, why := g.runOn(r)
+	return got, r.next.Load(), why
+}
+
+func (g *generation) runOn(r *run) (outcome, error) {
+	c := r.chain
 	ctx, cancel := context.WithCancelCause(g.ctx)
 	defer cancel(nil)
-	r := &run{chain: c, cancel: cancel, movable: g.route.Resumable && g.runs+1 < max(g.route.Attempts, 1)}
+	r.cancel = cancel
 	r.lastEvent.Store(time.Now().UnixNano())
 	first := c.Stages[0]
 	head := platform.EncodeRequest(g.r, platform.Forward{
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -101,9 +101,7 @@
 		id = event.MemberLeaving
 	}
 	c.g.log.Log(id).Str("member", string(a.Member.ID)).Str("data_centre", string(a.Member.DataCentre)).Send()
-	c.g.retryMu.Lock()
-	c.g.retries.SetConfig(c.g.retryConfig(1 + len(c.members.View().Members)))
-	c.g.retryMu.Unlock()
+	c.g.setRetryLimits(1 + len(c.members.View().Members))
 }
 
 // heard takes in another VM's news.
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -16,6 +16,7 @@
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/retry"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -127,11 +128,20 @@
 
 // mayRepeat takes one repeated send from the budget that all VMs share.
 func (c *call) mayRepeat(service *catalog.Service, why string) bool {
+	return c.takeRepeat(c.g.retries, service, why)
+}
+
+// mayMove takes one send for a run that leaves a server from its part of the budget.
+func (c *call) mayMove(service *catalog.Service) bool {
+	return c.takeRepeat(c.g.moves, service, "draining")
+}
+
+func (c *call) takeRepeat(budget *retry.Budget, service *catalog.Service, why string) bool {
 	if c.gone() {
 		return false
 	}
 	c.g.retryMu.Lock()
-	allowed, _ := c.g.retries.Allow(time.Now(), fleet.TeamID(service.ID), fleet.UpstreamID(service.ID))
+	allowed, _ := budget.Allow(time.Now(), fleet.TeamID(service.ID), fleet.UpstreamID(service.ID))
 	c.g.retryMu.Unlock()
 	if !allowed {
 		c.g.stats.Count("retries_denied", "reason", why)
@@ -146,7 +156,10 @@
 func (g *Gateway) earnRepeat(service catalog.ServiceID) {
 	g.retryMu.Lock()
 	defer g.retryMu.Unlock()
-	g.retries.Success(time.Now(), fleet.TeamID(service), fleet.UpstreamID(service))
+	now := time.Now()
+	for _, budget := range []*retry.Budget{g.retries, g.moves} {
+		budget.Success(now, fleet.TeamID(service), fleet.UpstreamID(service))
+	}
 }
 
 // pickPlain returns the server with the fewest requests of this VM, one of the
--- a/pkg/gateway/reload.go
+++ b/pkg/gateway/reload.go
@@ -46,7 +46,5 @@
 // setBounds puts the limits of new settings in force.
 func (g *Gateway) setBounds(b platform.Bounds) {
 	g.bounds.Store(&b)
-	g.retryMu.Lock()
-	defer g.retryMu.Unlock()
-	g.retries.SetConfig(g.retryConfig(1 + len(g.control.members.View().Members)))
+	g.setRetryLimits(1 + len(g.control.members.View().Members))
 }
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -44,6 +44,13 @@
 	suspected time.Time
 	// movable is set when another run may take over.
 	movable bool
+	// generation is the request that it runs.
+	generation *generation
+	// next is the chain that was reserved before the run was ended for it.
+	next atomic.Pointer[chain.Chain]
+	// moveAt is the earliest time of the next look for such a chain; only the
+	// control goroutine uses it.
+	moveAt time.Time
 }
 
 // streams are the runs in progress.
@@ -91,9 +98,12 @@
 	dead := c.g.view.Load().dead
 	ending := c.ending(now)
 	for _, r := range runs {
-		if r.movable && len(ending) > 0 && passesThrough(r, ending) {
-			r.cancel(errDraining)
-			continue
+		if r.movable && len(ending) > 0 && now.After(r.moveAt) && passesThrough(r, ending) {
+			r.moveAt = now.Add(movePause)
+			if r.generation.reserveNext(r) {
+				r.cancel(errDraining)
+				continue
+			}
 		}
 		last := time.Unix(0, r.lastEvent.Load())
 		still := now.Sub(last)
@@ -114,10 +124,32 @@
 	}
 }
 
+// movePause is the time between two looks for another chain for the same run: some
+// of the generations that hold the memory end meanwhile.
+const movePause = 500 * time.Millisecond
+
 // drainShare is the part of the drain time after which runs leave a draining
 // server. Most generations have ended by then.
 const drainShare = 0.7
 
+// reserveNext reserves another chain for a run that is still in order. Without one,
+// or beyond the retry budget, the run stays where it is.
+func (g *generation) reserveNext(r *run) bool {
+	if r.next.Load() != nil || g.left() < leastGeneration {
+		return false
+	}
+	next, failure := g.gate.again(g.request, nil)
+	if failure != chain.NoFailure {
+		return false
+	}
+	if !g.mayMove(g.service) {
+		g.gate.release(g.request, next)
+		return false
+	}
+	r.next.Store(next)
+	return true
+}
+
 // ending returns the servers that have drained for so long that they may end soon.
 func (c *control) ending(now time.Time) map[fleet.UpstreamID]bool {
 	var list map[fleet.UpstreamID]bool
