--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -31,10 +31,11 @@
 	patienceMargin = 400 * time.Millisecond
 	// maxRefusals bounds the chains tried for one request that refused to run it.
 	maxRefusals = 4
-	// resumeTime is how long a broken stream looks for another chain before it is given up.
+	// resumeTime is how long a request whose run failed looks for another chain: the
+	// time in which an engine loads a few layers.
 	resumeTime = 1200 * time.Millisecond
 	// resumePause is the time between two looks.
-	resumePause = 50 * time.Millisecond
+	resumePause = 100 * time.Millisecond
 	// leastGeneration is the shortest time left that is worth another run.
 	leastGeneration = 300 * time.Millisecond
 	// relayBuffer is the size of one read of a stream: some tens of events.
@@ -207,37 +208,62 @@
 	}
 }
 
-// next returns a chain for another run, nil when there must not or can't be one.
+// next returns a chain for another run, nil when there must not or can't be one. A
+// stream that has begun looks for one until its caller would have left, since only
+// a further run can still complete it; other requests are answered soon.
 func (g *generation) next(got outcome) *chain.Chain {
-	switch {
-	case got == unknown && (!g.route.Resumable || g.runs >= max(g.route.Attempts, 1)):
-		return nil
-	case got == notRun && g.refusals > maxRefusals:
-		return nil
-	case g.left() < leastGeneration || !g.mayRepeat(g.service, repeatReason(got)):
+	if !g.mayGoOn(got) {
 		return nil
 	}
-	until := time.Now().Add(min(resumeTime, g.left()))
+	until := time.Now().Add(resumeTime)
+	if g.begun {
+		until = g.lastEvent.Add(g.patience() + resumeTime)
+		if got == notRun && !g.wait() { // the same refusal would follow at once
+			return nil
+		}
+	}
 	for {
-		c, failure := g.gate.again(g.request, g.avoid)
-		if failure == chain.NoFailure {
+		c, allowed := g.nextChain(got)
+		if c != nil {
 			return c
 		}
-		if len(g.avoid) > 0 { // a server that refused once may have room again
-			clear(g.avoid)
-			continue
-		}
-		if time.Now().After(until) || g.gone() {
-			return nil
-		}
-		select {
-		case <-time.After(resumePause):
-		case <-g.ctx.Done():
+		if !allowed && !g.begun || time.Now().After(until) || !g.wait() {
 			return nil
 		}
 	}
 }
 
+// mayGoOn reports whether another run is allowed.
+func (g *generation) mayGoOn(got outcome) bool {
+	switch {
+	case got == unknown && (!g.route.Resumable || g.runs >= max(g.route.Attempts, 1)):
+		return false
+	case got == notRun && g.refusals > maxRefusals && !g.begun:
+		return false
+	}
+	return g.left() >= leastGeneration && !g.gone()
+}
+
+// nextChain reserves a chain if there is one and the retry budget allows its use.
+func (g *generation) nextChain(got outcome) (c *chain.Chain, allowed bool) {
+	c, failure := g.gate.again(g.request, g.avoid)
+	if failure != chain.NoFailure && len(g.avoid) > 0 { // a server that refused once may have room again
+		clear(g.avoid)
+		c, failure = g.gate.again(g.request, nil)
+	}
+	if failure != chain.NoFailure {
+		return nil, true
+	}
+	if !g.mayRepeat(g.service, repeatReason(got)) {
+		g.gate.release(g.request, c)
+		return nil, false
+	}
+	return c, true
+}
+
+// wait pauses between two looks for a chain and reports false when ctx ended.
+func (g *generation) wait() bool { return pause(g.ctx, resumePause) }
+
 func repeatReason(got outcome) string {
 	if got == notRun {
 		return "not_run"
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -131,11 +131,7 @@
 	return c.takeRepeat(c.g.retries, service, why)
 }
 
-// mayMove takes one send for a run that leaves a server from its part of the budget.
-func (c *call) mayMove(service *catalog.Service) bool {
-	return c.takeRepeat(c.g.moves, service, "draining")
-}
-
+// takeRepeat takes one send from a budget.
 func (c *call) takeRepeat(budget *retry.Budget, service *catalog.Service, why string) bool {
 	if c.gone() {
 		return false
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -84,7 +84,7 @@
 
 // sweep looks for runs that make no progress. Servers on which no run has made
 // progress since are probed; runs on a server that was found dead, or that stand
-// still for too long, are given up so that another run continues them.
+// still for too long, go on with another chain once one is reserved for them.
 func (c *control) sweep(now time.Time) {
 	runs := c.g.streams.all(nil)
 	for _, r := range runs {
@@ -100,7 +100,7 @@
 	for _, r := range runs {
 		if r.movable && len(ending) > 0 && now.After(r.moveAt) && passesThrough(r, ending) {
 			r.moveAt = now.Add(movePause)
-			if r.generation.reserveNext(r) {
+			if r.generation.reserveNext(r, r.generation.mayMove) {
 				r.cancel(errDraining)
 				continue
 			}
@@ -113,9 +113,12 @@
 		if still < controlTick {
 			continue
 		}
-		if r.movable && (still > moveAfter || onDead(r, dead)) {
-			r.cancel(errStalled)
-			continue
+		if r.movable && now.After(r.moveAt) && (still > moveAfter || onDead(r, dead)) {
+			r.moveAt = now.Add(movePause)
+			if r.generation.reserveNext(r, r.generation.mayResume) {
+				r.cancel(errStalled)
+				continue
+			}
 		}
 		if still > suspectAfter && now.Sub(r.suspected) > suspectAfter {
 			r.suspected = now
@@ -132,9 +135,16 @@
 // server. Most generations have ended by then.
 const drainShare = 0.7
 
-// reserveNext reserves another chain for a run that is still in order. Without one,
-// or beyond the retry budget, the run stays where it is.
-func (g *generation) reserveNext(r *run) bool {
+// mayResume takes one send for a run whose chain stands still.
+func (g *generation) mayResume() bool { return g.mayRepeat(g.service, "stalled") }
+
+// mayMove takes one send for a run that leaves a server.
+func (g *generation) mayMove() bool { return g.takeRepeat(g.g.moves, g.service, "draining") }
+
+// reserveNext reserves another chain for a run. Without one, or beyond the retry
+// budget, the run stays where it is: its chain may go on, and its server ends it
+// otherwise.
+func (g *generation) reserveNext(r *run, allowed func() bool) bool {
 	if r.next.Load() != nil || g.left() < leastGeneration {
 		return false
 	}
@@ -142,7 +152,7 @@
 	if failure != chain.NoFailure {
 		return false
 	}
-	if !g.mayMove(g.service) {
+	if !allowed() {
 		g.gate.release(g.request, next)
 		return false
 	}
--- a/pkg/layout/layout_test.go
+++ b/pkg/layout/layout_test.go
@@ -164,3 +164,28 @@
 	is.True(moved <= 4)
 	is.Equal(loaded, plan["a-l4-0"].Len()+plan["a-l4-7"].Len()) // only what was lost
 }
+
+// TestRevisedPlanKeepsLayersInPlace covers losses that force a new plan of a data
+// centre: an engine is not moved to a range that another engine of its kind holds.
+func TestRevisedPlanKeepsLayersInPlace(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	engines := testEngines(e)
+	plan := layout.Fresh(e, engines)
+	left := hold(engines, plan, "b-a100s-0", "b-t4-0", "b-t4-1", "b-t4-4", "b-t4-5", "b-t4-6")
+	repaired := layout.Repair(e, left)
+	holder := map[string]fleet.UpstreamID{}
+	for _, x := range left {
+		if x.DataCentre == "b" {
+			holder[x.Card.Name+x.Holds.String()] = x.ID
+		}
+	}
+	for _, x := range left {
+		if x.DataCentre != "b" {
+			continue
+		}
+		if id, ok := holder[x.Card.Name+repaired[x.ID].String()]; ok {
+			is.Equal(id, x.ID) // the engine that held the range keeps it
+		}
+	}
+}
--- a/pkg/layout/repair.go
+++ b/pkg/layout/repair.go
@@ -32,7 +32,7 @@
 // reviseAll plans anew when no set of copies completes the model. Engines whose
 // range stays the same load nothing.
 func (p *planner) reviseAll(engines []Engine, plan Plan) Plan {
-	fresh := Fresh(p.engine, engines)
+	fresh := matched(engines, Fresh(p.engine, engines))
 	if complete(p.engine.Layers, engines, fresh) {
 		return fresh
 	}
@@ -132,6 +132,7 @@
 func (p *planner) reviseCentre(engines []Engine, plan Plan) {
 	fresh := Plan{}
 	p.planCentre(engines, fresh)
+	fresh = matched(engines, fresh)
 	if !complete(p.engine.Layers, engines, fresh) {
 		return
 	}
@@ -143,6 +144,46 @@
 	}
 }
 
+// matched exchanges the ranges of a plan between engines of one kind and data
+// centre so that as many layers as possible are where they are held already.
+func matched(engines []Engine, plan Plan) Plan {
+	type kind struct {
+		dc   fleet.DataCentreID
+		card string
+	}
+	groups := make(map[kind][]Engine)
+	for _, e := range engines {
+		if _, ok := plan[e.ID]; ok {
+			k := kind{e.DataCentre, e.Card.Name}
+			groups[k] = append(groups[k], e)
+		}
+	}
+	result := make(Plan, len(plan))
+	for _, group := range groups {
+		ranges := make([]fleet.LayerRange, len(group))
+		for i, e := range group {
+			ranges[i] = plan[e.ID]
+		}
+		for len(group) > 0 { // the pair that shares the most layers first
+			bestE, bestR, most := 0, 0, -1
+			for i, e := range group {
+				for j, r := range ranges {
+					if n := shared(e.Holds, r); n > most {
+						bestE, bestR, most = i, j, n
+					}
+				}
+			}
+			result[group[bestE].ID] = ranges[bestR]
+			group = slices.Delete(group, bestE, bestE+1)
+			ranges = slices.Delete(ranges, bestR, bestR+1)
+		}
+	}
+	return result
+}
+
+// shared returns the number of layers in both ranges.
+func shared(a, b fleet.LayerRange) int { return max(0, min(a.End, b.End)-max(a.First, b.First)) }
+
 // firstGap returns the first run of layers that no engine holds.
 func (p *planner) firstGap(engines []Engine) fleet.LayerRange {
 	held := make([]bool, p.engine.Layers)
