--- a/Makefile
+++ b/Makefile
@@ -14,13 +14,13 @@
 # check fails on unformatted files, on findings of vet and staticcheck, and when
 # a result code, log event or setting is missing from its table in docs/.
 check:
-	@unformatted=$$(gofmt -l cmd internal pkg); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd internal pkg platform); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 	$(GO) test -run 'TestDocs' ./pkg/result ./pkg/event ./pkg/settings
 
 fmt:
-	gofmt -w cmd internal pkg
+	gofmt -w cmd internal pkg platform
 
 # test leaves out exactly the tests that KNOWN-RED.txt names, and prints them.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -12,10 +12,10 @@
 	"github.com/cornelline/cornelline/pkg/admission"
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/outlier"
 	"github.com/cornelline/cornelline/pkg/placement"
-	"github.com/cornelline/cornelline/pkg/platform"
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
 
@@ -303,7 +303,7 @@
 }
 
 // listed books the platform's VM list.
-func (c *control) listed(entries []platform.VMEntry) {
+func (c *control) listed(entries []infra.VMEntry) {
 	c.post(func(time.Time) {
 		leaving := map[string]bool{}
 		for _, e := range entries {
--- a/pkg/entry/runner.go
+++ b/pkg/entry/runner.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/replica"
 	"github.com/cornelline/cornelline/pkg/settings"
 )
@@ -19,12 +19,12 @@
 const snapshotJitterMax = 30 * time.Second
 
 // newRunner returns the runner of one stream of the log.
-func (s *Server) newRunner(log platform.Log, stream string) *replica.Runner {
+func (s *Server) newRunner(log infra.Log, stream string) *replica.Runner {
 	return replica.NewRunner(replica.RunnerConfig{
 		Config: replica.Config{
 			Seeds:          len(s.cfg.Seeds),
 			Jitter:         time.Duration(hashOf(string(s.cfg.VM)) % uint64(snapshotJitterMax)),
-			StartFromPeers: stream == platform.SettingsStream,
+			StartFromPeers: stream == infra.SettingsStream,
 		},
 		Log: log, Stream: stream, VM: s.cfg.VM, Events: s.log,
 		Params:       replica.ParametersOf(settings.Empty().Effective(settings.Scope{})),
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -23,7 +23,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/explain"
 	"github.com/cornelline/cornelline/pkg/fleet"
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/quarantine"
 	"github.com/cornelline/cornelline/pkg/rehearsal"
 	"github.com/cornelline/cornelline/pkg/replica"
@@ -47,8 +47,8 @@
 	traces   *explain.Store
 	injector *rehearsal.Injector
 	client   *http.Client
-	weights  platform.WeightStore
-	vmList   platform.VMList
+	weights  infra.WeightStore
+	vmList   infra.VMList
 	tokens   tokens.Tokenizer
 
 	settings *replica.Runner
@@ -220,11 +220,11 @@
 // connectPlatform makes the clients of the platform's services.
 func (s *Server) connectPlatform() {
 	s.injector.Bind(hostOf(s.cfg.LogURL), rehearsal.LogTarget)
-	log := platform.NewHTTPLog(s.cfg.LogURL, s.client)
-	s.weights = platform.NewHTTPWeightStore(s.cfg.WeightStoreURL, s.client)
-	s.vmList = platform.NewHTTPVMList(s.cfg.VMListURL, s.client)
-	s.settings = s.newRunner(log, platform.SettingsStream)
-	s.claims = s.newRunner(log, platform.ClaimsStream)
+	log := infra.NewHTTPLog(s.cfg.LogURL, s.client)
+	s.weights = infra.NewHTTPWeightStore(s.cfg.WeightStoreURL, s.client)
+	s.vmList = infra.NewHTTPVMList(s.cfg.VMListURL, s.client)
+	s.settings = s.newRunner(log, infra.SettingsStream)
+	s.claims = s.newRunner(log, infra.ClaimsStream)
 }
 
 // pollVMList reads the platform's VM list until ctx ends.
--- a/pkg/entry/startup.go
+++ b/pkg/entry/startup.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/spread"
 	"github.com/cornelline/cornelline/pkg/wire"
@@ -75,13 +75,13 @@
 
 // fetchState transfers the parts of a peer's state and checks its hash.
 func (s *Server) fetchState(ctx context.Context, peer string) ([]byte, error) {
-	first, err := s.fetchPart(ctx, peer, &spread.SnapshotWant{Stream: platform.SettingsStream})
+	first, err := s.fetchPart(ctx, peer, &spread.SnapshotWant{Stream: infra.SettingsStream})
 	if err != nil {
 		return nil, err
 	}
 	parts := []*spread.Snapshot{first}
 	for i := 1; i < first.Parts; i++ {
-		part, err := s.fetchPart(ctx, peer, &spread.SnapshotWant{Stream: platform.SettingsStream, Covers: first.Covers, Part: i})
+		part, err := s.fetchPart(ctx, peer, &spread.SnapshotWant{Stream: infra.SettingsStream, Covers: first.Covers, Part: i})
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -50,8 +50,6 @@
 type placed struct {
 	born   time.Time
 	target fleet.LayerRange
-	// orders is the number of accepted orders that the engine reported before.
-	orders int
 	since  time.Time
 	// loadEnds is when the load of a begun order should have ended.
 	loadEnds time.Time
@@ -69,12 +67,10 @@
 	// acting is set while this VM leads as deputy.
 	acting bool
 	// fence is the fencing token of this VM's orders, 0 while it gives none.
-	fence  uint64
-	fenced uint64 // the highest token that an engine refused
-	mu     sync.Mutex
-	orders map[fleet.UpstreamID]*placed
-	// first is set once the first plan was made.
-	planned   bool
+	fence     uint64
+	fenced    uint64 // the highest token that an engine refused
+	mu        sync.Mutex
+	orders    map[fleet.UpstreamID]*placed
 	listedAt  time.Time
 	changedAt time.Time
 	count     int
--- a/pkg/platform/http.go
+++ b/pkg/infra/http.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"bytes"
--- a/pkg/platform/http_test.go
+++ b/pkg/infra/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/standin"
 )
 
@@ -23,12 +23,12 @@
 		sent   bool
 		added  int
 	}{
-		{"outage", standin.Faults{Outage: true}, platform.ErrUnavailable, true, 0},
-		{"crash", standin.Faults{Crashed: true}, platform.ErrUnavailable, false, 0},
-		{"lost answer", standin.Faults{LoseAnswers: true}, platform.ErrUnavailable, true, 1},
-		{"late answer", standin.Faults{Late: standin.Duration(time.Minute)}, platform.ErrUnavailable, true, 1},
-		{"slow", standin.Faults{Slow: 1e6}, platform.ErrUnavailable, true, 0},
-		{"stall", standin.Faults{Stall: standin.StallAll}, platform.ErrUnavailable, true, 0},
+		{"outage", standin.Faults{Outage: true}, infra.ErrUnavailable, true, 0},
+		{"crash", standin.Faults{Crashed: true}, infra.ErrUnavailable, false, 0},
+		{"lost answer", standin.Faults{LoseAnswers: true}, infra.ErrUnavailable, true, 1},
+		{"late answer", standin.Faults{Late: standin.Duration(time.Minute)}, infra.ErrUnavailable, true, 1},
+		{"slow", standin.Faults{Slow: 1e6}, infra.ErrUnavailable, true, 0},
+		{"stall", standin.Faults{Stall: standin.StallAll}, infra.ErrUnavailable, true, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -37,7 +37,7 @@
 				defer stop()
 				log.SetFaults(test.faults)
 				_, err := client.Append(t.Context(), "settings", [][]byte{[]byte("a")})
-				var failure *platform.Error
+				var failure *infra.Error
 				is.True(errors.As(err, &failure))
 				is.True(errors.Is(err, test.kind))
 				is.Equal(failure.Sent, test.sent)
@@ -50,7 +50,7 @@
 	}
 }
 
-func logFixture(t *testing.T, config standin.LogConfig) (*standin.Log, *platform.HTTPLog, func()) {
+func logFixture(t *testing.T, config standin.LogConfig) (*standin.Log, *infra.HTTPLog, func()) {
 	t.Helper()
 	network := standin.NewNetwork()
 	log := standin.NewLog(config)
@@ -58,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return log, platform.NewHTTPLog("http://10.0.0.9:80", network.Client()), server.Close
+	return log, infra.NewHTTPLog("http://10.0.0.9:80", network.Client()), server.Close
 }
 
 // TestLogOffsetsAndRetention guards against lost or repeated offsets, against a
@@ -73,13 +73,13 @@
 		is.NoErr(err)
 		is.Equal(first, uint64(1))
 		_, err = client.Append(ctx, "claims", [][]byte{[]byte("d")})
-		is.True(errors.Is(err, platform.ErrRateLimited))
+		is.True(errors.Is(err, infra.ErrRateLimited))
 		time.Sleep(time.Second)
 		first, err = client.Append(ctx, "claims", [][]byte{[]byte("d"), []byte("e")})
 		is.NoErr(err)
 		is.Equal(first, uint64(4))
 		batch, err := client.Read(ctx, "claims", 1, 10)
-		is.True(errors.Is(err, platform.ErrTruncated))
+		is.True(errors.Is(err, infra.ErrTruncated))
 		is.Equal(batch.First, uint64(2))
 		is.Equal(batch.Next, uint64(6))
 		batch, err = client.Read(ctx, "claims", 3, 2)
@@ -103,8 +103,8 @@
 		server, err := standin.NewServer(list, "10.0.0.8:80", network.Listen)
 		is.NoErr(err)
 		defer server.Close()
-		client := platform.NewHTTPVMList("10.0.0.8:80", network.Client())
-		list.Set([]platform.VMEntry{{ID: "vm1"}})
+		client := infra.NewHTTPVMList("10.0.0.8:80", network.Client())
+		list.Set([]infra.VMEntry{{ID: "vm1"}})
 		vms, err := client.List(context.Background())
 		is.NoErr(err)
 		is.Equal(len(vms), 0)
--- a/pkg/platform/platform.go
+++ b/pkg/infra/infra.go
@@ -1,6 +1,6 @@
-// Package platform defines the interfaces to the platform's services (the
+// Package infra defines the interfaces to the platform's services (the
 // append-only log, the weight store and the VM list) and their HTTP clients.
-package platform
+package infra
 
 import (
 	"context"
--- a/pkg/placement/executor.go
+++ b/pkg/placement/executor.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
@@ -25,7 +25,7 @@
 	Engine func(fleet.UpstreamID) upstream.Engine
 	// Append appends a record to the log. Its result is read back from the log.
 	Append func(context.Context, record.Record) error
-	Store  platform.WeightStore
+	Store  infra.WeightStore
 	// Replan computes a plan, usually Planner.Replan.
 	Replan func(Input) Plan
 	Now    func() time.Time
--- a/pkg/replica/action.go
+++ b/pkg/replica/action.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/lease"
-	"github.com/cornelline/cornelline/pkg/platform"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/settings"
 )
@@ -33,7 +33,7 @@
 
 // AppliedAction says that a record was applied, whether it is valid or void. It
 // comes before the actions that tell what the record decided.
-type AppliedAction struct{ Record platform.Record }
+type AppliedAction struct{ Record infra.Record }
 
 // SettingsAction says that a settings record was read; Tree is the tree in force after it.
 type SettingsAction struct {
--- a/pkg/replica/history_log_test.go
+++ b/pkg/replica/history_log_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 )
 
 // fault is one kind of trouble in a history.
@@ -58,7 +58,7 @@
 	windows []window
 
 	mu      sync.Mutex
-	streams map[string][]platform.Record
+	streams map[string][]infra.Record
 	first   map[string]uint64
 	calls   map[string]int
 }
@@ -89,7 +89,7 @@
 	now := time.Now()
 	first := uint64(len(h.streams[stream])) + 1
 	for i, data := range records {
-		h.streams[stream] = append(h.streams[stream], platform.Record{Offset: first + uint64(i), AppendedAt: now, Data: data})
+		h.streams[stream] = append(h.streams[stream], infra.Record{Offset: first + uint64(i), AppendedAt: now, Data: data})
 	}
 	h.trim(stream, now)
 	return first
@@ -124,14 +124,14 @@
 	n := l.h.count("append " + l.vm + stream)
 	time.Sleep(l.latency(n, stream, "append"))
 	if l.down() {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	unlucky := l.h.dice.draw(3, "unlucky", l.vm, stream, n) == 0
 	switch {
 	case unlucky && l.h.active(faultLate, l.vm):
 		late := l.h.dice.between(time.Millisecond, 50*time.Second, "late", l.vm, stream, n)
 		time.AfterFunc(late, func() { l.h.takeEffect(stream, records) })
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	case unlucky && l.h.active(faultRepeat, l.vm):
 		late := l.h.dice.between(time.Millisecond, 30*time.Second, "repeat", l.vm, stream, n)
 		time.AfterFunc(late, func() { l.h.takeEffect(stream, records) })
@@ -139,24 +139,24 @@
 	first := l.h.takeEffect(stream, records)
 	time.Sleep(l.latency(n, stream, "answer"))
 	if unlucky && l.h.active(faultLostAnswer, l.vm) {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	return first, nil
 }
 
-func (l vmLog) Read(_ context.Context, stream string, from uint64, limit int) (platform.Batch, error) {
+func (l vmLog) Read(_ context.Context, stream string, from uint64, limit int) (infra.Batch, error) {
 	n := l.h.count("read " + l.vm + stream)
 	time.Sleep(l.latency(n, stream, "read"))
 	if l.down() {
-		return platform.Batch{}, platform.ErrUnavailable
+		return infra.Batch{}, infra.ErrUnavailable
 	}
 	l.h.mu.Lock()
 	defer l.h.mu.Unlock()
 	l.h.trim(stream, time.Now())
 	all := l.h.streams[stream]
-	b := platform.Batch{First: l.h.first[stream] + 1, Next: uint64(len(all)) + 1}
+	b := infra.Batch{First: l.h.first[stream] + 1, Next: uint64(len(all)) + 1}
 	if from < b.First {
-		return b, platform.ErrTruncated
+		return b, infra.ErrTruncated
 	}
 	for o := from; o < b.Next && len(b.Records) < limit; o++ {
 		b.Records = append(b.Records, all[o-1])
--- a/pkg/replica/history_test.go
+++ b/pkg/replica/history_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/cornelline/cornelline/pkg/confirm"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/lease"
-	"github.com/cornelline/cornelline/pkg/platform"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/replica"
 	"github.com/cornelline/cornelline/pkg/result"
@@ -143,7 +143,7 @@
 		go r.Run(ctx)
 		return r
 	}
-	v.claims, v.settings = newRunner(platform.ClaimsStream), newRunner(platform.SettingsStream)
+	v.claims, v.settings = newRunner(infra.ClaimsStream), newRunner(infra.SettingsStream)
 	w.mu.Lock()
 	w.vms[slot] = v
 	peers := w.vms
@@ -402,7 +402,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w = &world{ctx: ctx, epochs: map[uint64]fleet.VMID{}}
-		w.history = history{dice: dice(seed), start: time.Now(), streams: map[string][]platform.Record{}, first: map[string]uint64{}, calls: map[string]int{}}
+		w.history = history{dice: dice(seed), start: time.Now(), streams: map[string][]infra.Record{}, first: map[string]uint64{}, calls: map[string]int{}}
 		faults = w.schedule(seed)
 		for slot := range historyVMs {
 			w.startVM(slot, 1)
@@ -513,9 +513,9 @@
 func (w *world) settled() []porcupine.Operation {
 	valid := map[string]uint64{}
 	r := replica.New(replica.Config{}, historyParams)
-	all := w.streams[platform.SettingsStream]
+	all := w.streams[infra.SettingsStream]
 	r.Tick(w.start)
-	for _, a := range r.ReadDone(platform.Batch{Records: all, First: 1, Next: uint64(len(all)) + 1}, nil, w.start) {
+	for _, a := range r.ReadDone(infra.Batch{Records: all, First: 1, Next: uint64(len(all)) + 1}, nil, w.start) {
 		if s, ok := a.(replica.SettingsAction); ok && s.Verdict.Valid() {
 			valid[string(s.Change.Value)] = s.Verdict.Offset
 		}
--- a/pkg/replica/propose.go
+++ b/pkg/replica/propose.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/record"
 )
 
@@ -112,7 +112,7 @@
 		r.settle(appended, true)
 		r.wantRead = true
 		r.setLog(true, nil)
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, infra.ErrRateLimited):
 		// A factor of 2 kept VMs in step, so that one of them was refused again and again.
 		r.interval = min(maxInterval, max(r.interval, time.Millisecond)*3/2)
 		r.settle(queued, false)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/claim"
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/settings"
 )
@@ -204,15 +204,15 @@
 }
 
 // ReadDone gives the result of the read in flight.
-func (r *Replica) ReadDone(batch platform.Batch, err error, now time.Time) []Action {
+func (r *Replica) ReadDone(batch infra.Batch, err error, now time.Time) []Action {
 	r.reading = false
 	switch {
-	case (err == nil || errors.Is(err, platform.ErrTruncated)) && batch.First > r.nextOffset():
+	case (err == nil || errors.Is(err, infra.ErrTruncated)) && batch.First > r.nextOffset():
 		r.startScan(batch.First)
-	case errors.Is(err, platform.ErrTruncated):
+	case errors.Is(err, infra.ErrTruncated):
 		// The state moved past the offset asked for while the read was under way.
 		r.wantRead = true
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, infra.ErrRateLimited):
 	case err != nil:
 		r.setLog(false, err)
 	case r.truncated:
@@ -233,7 +233,7 @@
 
 // scanBatch restores the first snapshot from which the retained records lead on
 // without a gap.
-func (r *Replica) scanBatch(batch platform.Batch) {
+func (r *Replica) scanBatch(batch infra.Batch) {
 	for _, lr := range batch.Records {
 		r.scan = lr.Offset + 1
 		rec, err := record.Decode(lr.Data)
@@ -271,7 +271,7 @@
 }
 
 // applyBatch applies the records that follow the state without a gap.
-func (r *Replica) applyBatch(batch platform.Batch, now time.Time) {
+func (r *Replica) applyBatch(batch infra.Batch, now time.Time) {
 	for _, lr := range batch.Records {
 		if lr.Offset == r.state.Offset+1 {
 			r.applyRecord(lr, now)
@@ -289,7 +289,7 @@
 }
 
 // applyRecord applies one record and tells what it decided.
-func (r *Replica) applyRecord(lr platform.Record, now time.Time) {
+func (r *Replica) applyRecord(lr infra.Record, now time.Time) {
 	rec, v := r.state.apply(lr.Data, lr.Offset, lr.AppendedAt)
 	r.chains[lr.Offset%chainMemory] = r.state.chain
 	r.emit(AppliedAction{Record: lr})
@@ -344,7 +344,7 @@
 }
 
 // Records gives records that a peer relayed, in offset order.
-func (r *Replica) Records(records []platform.Record, now time.Time) []Action {
+func (r *Replica) Records(records []infra.Record, now time.Time) []Action {
 	if !r.truncated {
 		for _, lr := range records {
 			r.highest = max(r.highest, lr.Offset)
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/replica"
 )
@@ -33,7 +33,7 @@
 // machine is a log with replicas, driven one event at a time.
 type machine struct {
 	now     time.Time
-	records []platform.Record
+	records []infra.Record
 	first   uint64
 	late    [][][]byte
 	nodes   []*node
@@ -83,7 +83,7 @@
 
 func (m *machine) put(records [][]byte) {
 	for _, data := range records {
-		m.records = append(m.records, platform.Record{Offset: uint64(len(m.records)) + 1, AppendedAt: m.now, Data: bytes.Clone(data)})
+		m.records = append(m.records, infra.Record{Offset: uint64(len(m.records)) + 1, AppendedAt: m.now, Data: bytes.Clone(data)})
 	}
 }
 
@@ -100,17 +100,17 @@
 		m.put(records)
 	case "lost answer":
 		m.put(records)
-		err = platform.ErrUnavailable
+		err = infra.ErrUnavailable
 	case "dropped":
-		err = platform.ErrUnavailable
+		err = infra.ErrUnavailable
 	case "late":
 		m.late = append(m.late, records)
-		err = platform.ErrUnavailable
+		err = infra.ErrUnavailable
 	case "twice":
 		m.put(records)
 		m.late = append(m.late, records)
 	case "refused":
-		err = platform.ErrRateLimited
+		err = infra.ErrRateLimited
 	}
 	m.handle(t, n, n.r.AppendDone(err, m.now))
 }
@@ -122,13 +122,13 @@
 	}
 	from := n.read.From
 	n.read = nil
-	b := platform.Batch{First: m.first, Next: uint64(len(m.records)) + 1}
+	b := infra.Batch{First: m.first, Next: uint64(len(m.records)) + 1}
 	var err error
 	switch {
 	case fail:
-		b, err = platform.Batch{}, platform.ErrUnavailable
+		b, err = infra.Batch{}, infra.ErrUnavailable
 	case from < m.first:
-		err = platform.ErrTruncated
+		err = infra.ErrTruncated
 	case from < b.Next:
 		b.Records = m.records[from-1:]
 	}
@@ -183,10 +183,10 @@
 	r := replica.New(replica.Config{NewID: m.newID}, historyParams)
 	valid := map[record.ID]bool{}
 	r.Tick(m.now)
-	r.ReadDone(platform.Batch{First: 1, Next: 1}, nil, m.now)
+	r.ReadDone(infra.Batch{First: 1, Next: 1}, nil, m.now)
 	for _, lr := range m.records {
 		before := r.State().Claims.Len()
-		for _, a := range r.Records([]platform.Record{lr}, m.now) {
+		for _, a := range r.Records([]infra.Record{lr}, m.now) {
 			switch a := a.(type) {
 			case replica.SettingsAction:
 				valid[a.Verdict.ID] = valid[a.Verdict.ID] || a.Verdict.Valid()
--- a/pkg/replica/rules_test.go
+++ b/pkg/replica/rules_test.go
@@ -10,21 +10,21 @@
 	"github.com/matryer/is"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/replica"
 	"github.com/cornelline/cornelline/pkg/result"
 )
 
 // stream builds the records of a log.
-type stream []platform.Record
+type stream []infra.Record
 
 func (s *stream) add(rec record.Record) record.Record {
 	data, err := record.Encode(rec)
 	if err != nil {
 		panic(err)
 	}
-	*s = append(*s, platform.Record{Offset: uint64(len(*s)) + 1, AppendedAt: machineStart, Data: data})
+	*s = append(*s, infra.Record{Offset: uint64(len(*s)) + 1, AppendedAt: machineStart, Data: data})
 	return rec
 }
 
@@ -39,8 +39,8 @@
 
 // from returns the read of the records from an offset on, of a log that keeps
 // those from first on.
-func (s stream) from(first, offset uint64) platform.Batch {
-	return platform.Batch{Records: s[offset-1:], First: first, Next: uint64(len(s)) + 1}
+func (s stream) from(first, offset uint64) infra.Batch {
+	return infra.Batch{Records: s[offset-1:], First: first, Next: uint64(len(s)) + 1}
 }
 
 func newReplica(seeds int) *replica.Replica {
@@ -150,7 +150,7 @@
 
 	cut := newReplica(1)
 	cut.Tick(machineStart)
-	cut.ReadDone(platform.Batch{First: 2, Next: 2}, platform.ErrTruncated, machineStart)
+	cut.ReadDone(infra.Batch{First: 2, Next: 2}, infra.ErrTruncated, machineStart)
 	cut.SnapshotOffered("a", record.Snapshot{}, machineStart)
 	is.True(!cut.Ready()) // what the log forgot is missing
 }
@@ -175,7 +175,7 @@
 	for _, row := range []struct{ first, loaded uint64 }{{2, 1}, {4, 3}, {5, 0}} {
 		r := newReplica(0)
 		r.Tick(machineStart)
-		r.ReadDone(s.from(row.first, row.first), platform.ErrTruncated, machineStart)
+		r.ReadDone(s.from(row.first, row.first), infra.ErrTruncated, machineStart)
 		r.ReadDone(s.from(row.first, row.first), nil, machineStart)
 		is.Equal(r.State().Offset, row.loaded)
 		r.Records(s[4:], machineStart) // leaves a gap, unless the snapshot covers 4
@@ -208,14 +208,14 @@
 	is.Equal(appends(propose(r, 1, machineStart)), 1)
 	at := machineStart.Add(time.Second)
 	is.Equal(appends(propose(r, 2, at)), 0)
-	got := r.AppendDone(platform.ErrUnavailable, at)
+	got := r.AppendDone(infra.ErrUnavailable, at)
 	is.Equal(appends(got), 1) // the second record, not the first
-	empty := platform.Batch{First: 1, Next: 1}
-	is.Equal(appends(r.AppendDone(platform.ErrRateLimited, at)), 0)
+	empty := infra.Batch{First: 1, Next: 1}
+	is.Equal(appends(r.AppendDone(infra.ErrRateLimited, at)), 0)
 	at = at.Add(time.Second)
 	got = r.ReadDone(empty, nil, at)
 	is.Equal(len(find[replica.AppendAction](got)[0].Records), 1) // again only the second
-	r.AppendDone(platform.ErrUnavailable, at)
+	r.AppendDone(infra.ErrUnavailable, at)
 	at = at.Add(time.Second)
 	is.Equal(appends(r.ReadDone(empty, nil, at)), 0) // started while the append was in flight
 	got = r.ReadDone(empty, nil, at)
@@ -251,7 +251,7 @@
 	is.Equal(find[replica.UndecidedAction](r.Abandon(record.ID{2}, at)), []replica.UndecidedAction{{ID: record.ID{2}}})
 	is.Equal(r.Pending(), 1)
 	is.Equal(find[replica.UndecidedAction](r.Abandon(record.ID{1}, at)), []replica.UndecidedAction{{ID: record.ID{1}, Sent: true}})
-	r.AppendDone(platform.ErrUnavailable, at)
+	r.AppendDone(infra.ErrUnavailable, at)
 	var s stream
 	s.add(claimRecord(1)) // took effect
 	is.True(closes(r.ReadDone(s.from(1, 1), nil, at.Add(time.Second)), 1))
@@ -282,7 +282,7 @@
 	at := machineStart.Add(time.Second)
 	r.AppendDone(nil, at)
 	r.Tick(at)
-	r.ReadDone(platform.Batch{First: 1, Next: 2}, nil, at)
+	r.ReadDone(infra.Batch{First: 1, Next: 2}, nil, at)
 	s.add(change)
 	got := r.Records(s[1:], at)
 	is.Equal(len(find[replica.DecidedAction](got)), 0)
--- a/pkg/replica/runner.go
+++ b/pkg/replica/runner.go
@@ -9,8 +9,8 @@
 
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/lease"
-	"github.com/cornelline/cornelline/pkg/platform"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/result"
 	"github.com/cornelline/cornelline/pkg/settings"
@@ -42,7 +42,7 @@
 // RunnerConfig configures a Runner.
 type RunnerConfig struct {
 	Config
-	Log    platform.Log
+	Log    infra.Log
 	Stream string
 	VM     fleet.VMID
 	Params Parameters
@@ -66,8 +66,8 @@
 	waiters  map[record.ID]chan outcome
 	onChange atomic.Pointer[func(*View)]
 	onLease  atomic.Pointer[func(LeasesAction)]
-	onRecord atomic.Pointer[func(platform.Record)]
-	kept     []platform.Record
+	onRecord atomic.Pointer[func(infra.Record)]
+	kept     []infra.Record
 	history  []Change
 	stopped  chan struct{}
 	// calls are those to the log; Run returns after they have.
@@ -126,7 +126,7 @@
 // OnRecord sets a function that is called, from the runner's goroutine, for each
 // record applied here, in offset order. It must not call the runner's blocking
 // methods. A relay to other VMs starts here.
-func (r *Runner) OnRecord(f func(platform.Record)) { r.onRecord.Store(&f) }
+func (r *Runner) OnRecord(f func(infra.Record)) { r.onRecord.Store(&f) }
 
 // Run drives the replica until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
@@ -230,7 +230,7 @@
 }
 
 // keep remembers a record for RecordsFrom and passes it on.
-func (r *Runner) keep(lr platform.Record) {
+func (r *Runner) keep(lr infra.Record) {
 	if r.cfg.KeepRecords > 0 {
 		r.kept = append(r.kept, lr)
 		r.kept = r.kept[max(0, len(r.kept)-r.cfg.KeepRecords):]
@@ -243,7 +243,7 @@
 // RecordsFrom returns the kept records from an offset on, for a peer that missed
 // them. It returns none when an older record than the kept ones is asked for; the
 // peer then needs a snapshot.
-func (r *Runner) RecordsFrom(ctx context.Context, offset uint64) (records []platform.Record) {
+func (r *Runner) RecordsFrom(ctx context.Context, offset uint64) (records []infra.Record) {
 	r.do(ctx, func(time.Time) []Action {
 		for i, lr := range r.kept {
 			if lr.Offset == offset {
@@ -335,7 +335,7 @@
 }
 
 // Records gives records that a peer relayed, in offset order.
-func (r *Runner) Records(ctx context.Context, records []platform.Record) {
+func (r *Runner) Records(ctx context.Context, records []infra.Record) {
 	r.do(ctx, func(now time.Time) []Action { return r.replica.Records(records, now) })
 }
 
--- a/pkg/replica/runner_test.go
+++ b/pkg/replica/runner_test.go
@@ -15,7 +15,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/record"
 	"github.com/cornelline/cornelline/pkg/replica"
 	"github.com/cornelline/cornelline/pkg/result"
@@ -24,7 +24,7 @@
 // fakeLog is a log in memory, with a fixed time an append and a limit on appends a second.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []infra.Record
 	first   uint64
 	latency time.Duration
 	limit   *rate.Limiter // nil for none
@@ -42,35 +42,35 @@
 	now := time.Now()
 	switch {
 	case l.down:
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	case l.limit != nil && !l.limit.Allow():
-		return 0, platform.ErrRateLimited
+		return 0, infra.ErrRateLimited
 	case l.dropCalls > 0:
 		l.dropCalls--
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	l.appends++
 	first := uint64(len(l.records)) + 1
 	for i, data := range records {
-		l.records = append(l.records, platform.Record{Offset: first + uint64(i), AppendedAt: now, Data: data})
+		l.records = append(l.records, infra.Record{Offset: first + uint64(i), AppendedAt: now, Data: data})
 	}
 	if l.loseAnswers > 0 {
 		l.loseAnswers--
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	return first, nil
 }
 
-func (l *fakeLog) Read(_ context.Context, _ string, from uint64, limit int) (platform.Batch, error) {
+func (l *fakeLog) Read(_ context.Context, _ string, from uint64, limit int) (infra.Batch, error) {
 	time.Sleep(time.Millisecond)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := platform.Batch{First: max(1, l.first), Next: uint64(len(l.records)) + 1}
+	b := infra.Batch{First: max(1, l.first), Next: uint64(len(l.records)) + 1}
 	switch {
 	case l.down:
-		return platform.Batch{}, platform.ErrUnavailable
+		return infra.Batch{}, infra.ErrUnavailable
 	case from < b.First:
-		return b, platform.ErrTruncated
+		return b, infra.ErrTruncated
 	}
 	for o := from; o < b.Next && len(b.Records) < limit; o++ {
 		b.Records = append(b.Records, l.records[o-1])
@@ -79,7 +79,7 @@
 }
 
 // run starts a runner over the log and waits until it is ready.
-func run(ctx context.Context, l platform.Log, cfg replica.RunnerConfig) *replica.Runner {
+func run(ctx context.Context, l infra.Log, cfg replica.RunnerConfig) *replica.Runner {
 	cfg.Log = l
 	if cfg.Params == (replica.Parameters{}) {
 		cfg.Params = replica.DefaultParameters()
@@ -186,8 +186,8 @@
 		l := &fakeLog{latency: time.Millisecond}
 		reader := run(ctx, l, replica.RunnerConfig{KeepRecords: 2})
 		cut := run(ctx, &fakeLog{down: true}, replica.RunnerConfig{})
-		var relayed []platform.Record
-		reader.OnRecord(func(lr platform.Record) { relayed = append(relayed, lr) })
+		var relayed []infra.Record
+		reader.OnRecord(func(lr infra.Record) { relayed = append(relayed, lr) })
 		for _, branch := range []string{"team/a", "team/b", "team/c"} {
 			_, err := reader.ProposeSettings(ctx, record.Settings{Branch: branch, Value: []byte(`{}`)})
 			is.NoErr(err)
--- a/pkg/standin/log.go
+++ b/pkg/standin/log.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 )
 
 // maxRead is the most records that one read returns.
@@ -41,7 +41,7 @@
 // stream holds the kept records; first is the offset of the oldest one.
 type stream struct {
 	first   uint64
-	records []platform.Record
+	records []infra.Record
 }
 
 // NewLog returns a log stand-in.
@@ -56,8 +56,8 @@
 		routes:  http.NewServeMux(),
 		streams: map[string]*stream{},
 	}
-	l.routes.HandleFunc("POST "+platform.PathStreams+"{stream}/records", l.serveAppend)
-	l.routes.HandleFunc("GET "+platform.PathStreams+"{stream}/records", l.serveRead)
+	l.routes.HandleFunc("POST "+infra.PathStreams+"{stream}/records", l.serveAppend)
+	l.routes.HandleFunc("GET "+infra.PathStreams+"{stream}/records", l.serveRead)
 	return l
 }
 
@@ -71,7 +71,7 @@
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
-	var req platform.AppendRequest
+	var req infra.AppendRequest
 	if !readJSON(w, r, &req) || !l.begin(r) {
 		return
 	}
@@ -85,7 +85,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if sleep(r.Context(), time.Duration(f.Late)) == nil {
-		writeJSON(w, http.StatusOK, platform.AppendResponse{First: first})
+		writeJSON(w, http.StatusOK, infra.AppendResponse{First: first})
 	}
 }
 
@@ -97,7 +97,7 @@
 	next := s.first + uint64(len(s.records))
 	now := time.Now()
 	for i, data := range records {
-		s.records = append(s.records, platform.Record{Offset: next + uint64(i), AppendedAt: now, Data: data})
+		s.records = append(s.records, infra.Record{Offset: next + uint64(i), AppendedAt: now, Data: data})
 	}
 	l.expire(s, now)
 	return next
@@ -146,12 +146,12 @@
 }
 
 // read returns the records from an offset on, and whether that offset is still kept.
-func (l *Log) read(name string, from uint64, limit int) (platform.Batch, bool) {
+func (l *Log) read(name string, from uint64, limit int) (infra.Batch, bool) {
 	l.streamsMu.Lock()
 	defer l.streamsMu.Unlock()
 	s := l.stream(name)
 	l.expire(s, time.Now())
-	batch := platform.Batch{First: s.first, Next: s.first + uint64(len(s.records))}
+	batch := infra.Batch{First: s.first, Next: s.first + uint64(len(s.records))}
 	if from < s.first {
 		return batch, false
 	}
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cornelline/cornelline/pkg/platform"
+	"github.com/cornelline/cornelline/pkg/infra"
 )
 
 // PathWeights is where engines take weights; the answer comes when the rate allows.
@@ -37,8 +37,8 @@
 	setDefault(&config.ID, "weight-store")
 	setDefault(&config.BytesPerSecond, 1e9)
 	s := &WeightStore{part: newPart(config.ID), config: config, routes: http.NewServeMux()}
-	s.routes.HandleFunc("GET "+platform.PathWeightRate, func(w http.ResponseWriter, r *http.Request) {
-		writeJSON(w, http.StatusOK, platform.RateResponse{BytesPerSecond: config.BytesPerSecond / s.slow()})
+	s.routes.HandleFunc("GET "+infra.PathWeightRate, func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, infra.RateResponse{BytesPerSecond: config.BytesPerSecond / s.slow()})
 	})
 	s.routes.HandleFunc("GET "+PathWeights, s.serveWeights)
 	return s
@@ -87,8 +87,8 @@
 	ID     string `json:"id"`
 	Listen string `json:"listen"`
 	// Lag is the time until a change shows.
-	Lag Duration           `json:"lag"`
-	VMs []platform.VMEntry `json:"vms"`
+	Lag Duration        `json:"lag"`
+	VMs []infra.VMEntry `json:"vms"`
 }
 
 // VMList is the stand-in of the VM list. A PUT to its path replaces the list.
@@ -98,24 +98,24 @@
 	routes *http.ServeMux
 
 	listMu  sync.Mutex
-	visible []platform.VMEntry
+	visible []infra.VMEntry
 	pending []listChange
 }
 
 type listChange struct {
 	at  time.Time
-	vms []platform.VMEntry
+	vms []infra.VMEntry
 }
 
 // NewVMList returns a VM list stand-in.
 func NewVMList(config VMListConfig) *VMList {
 	setDefault(&config.ID, "vm-list")
 	v := &VMList{part: newPart(config.ID), config: config, routes: http.NewServeMux(), visible: config.VMs}
-	v.routes.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
-		writeJSON(w, http.StatusOK, platform.VMListResponse{VMs: v.list()})
+	v.routes.HandleFunc("GET "+infra.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, infra.VMListResponse{VMs: v.list()})
 	})
-	v.routes.HandleFunc("PUT "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
-		var body platform.VMListResponse
+	v.routes.HandleFunc("PUT "+infra.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		var body infra.VMListResponse
 		if readJSON(w, r, &body) {
 			v.Set(body.VMs)
 			writeJSON(w, http.StatusOK, body)
@@ -130,13 +130,13 @@
 }
 
 // Set replaces the list; the change shows after the lag.
-func (v *VMList) Set(vms []platform.VMEntry) {
+func (v *VMList) Set(vms []infra.VMEntry) {
 	v.listMu.Lock()
 	defer v.listMu.Unlock()
 	v.pending = append(v.pending, listChange{at: time.Now(), vms: vms})
 }
 
-func (v *VMList) list() []platform.VMEntry {
+func (v *VMList) list() []infra.VMEntry {
 	v.listMu.Lock()
 	defer v.listMu.Unlock()
 	for len(v.pending) > 0 && time.Since(v.pending[0].at) >= time.Duration(v.config.Lag) {
