--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -29,29 +29,37 @@
 	g      *Gateway
 	events chan func(now time.Time)
 
-	roster   *roster.Roster
-	health   *outlier.Detector
-	members  *membership.Machine
-	catalog  *catalog.Catalog
-	config   []byte // as it stands in the store
-	gates    map[catalog.ServiceID]*gate
-	peers    map[fleet.VMID]*peerState
-	slow     map[fleet.UpstreamID]float64
+	// What is believed of the platform, the upstreams and the other VMs.
+	roster  *roster.Roster
+	health  *outlier.Detector
+	members *membership.Machine
+	peers   map[fleet.VMID]*peerState
+	// slow holds the engines that work more slowly than usual, with their factor.
+	slow map[fleet.UpstreamID]float64
+	// layers holds what engines reported and their entries do not show yet.
 	layers   map[fleet.UpstreamID]heldLayers
-	dirty    bool
+	refusals map[fleet.UpstreamID]*refusals
+	// drains holds when upstreams announced their end, or their entry was removed.
+	drains map[fleet.UpstreamID]time.Time
+	// progress holds when a run through an engine last had an event.
+	progress map[fleet.UpstreamID]time.Time
+
+	// The configuration in force, also as it stands in the store, for other VMs.
+	catalog  *catalog.Catalog
+	config   []byte
 	fetching bool // a configuration is on its way from another VM
+	gates    map[catalog.ServiceID]*gate
+
 	listed   bool // the list of upstreams was read once
 	storeUp  bool
-	// storeAway is the opposite, for other goroutines.
+	storeBad time.Time // the begin of the last outage
+	// storeAway is the opposite of storeUp, for other goroutines.
 	storeAway atomic.Bool
-	storeBad  time.Time
-	sequence  uint64
-	toldAt    time.Time
-	prunedAt  time.Time
-	progress  map[fleet.UpstreamID]time.Time
-	refusals  map[fleet.UpstreamID]*refusals
-	// drains holds when upstreams announced their end, or their entry was removed.
-	drains map[fleet.UpstreamID]time.Time
+
+	dirty    bool   // a new view must be published
+	sequence uint64 // of the news to the other VMs
+	toldAt   time.Time
+	prunedAt time.Time
 }
 
 // heldLayers are the layers that an engine itself reported, newer than its entry
@@ -137,6 +145,7 @@
 	c.endRefusals(now)
 	c.sweep(now)
 	c.g.deputy.Store(c.mayDeputise(now))
+	c.g.otherLeads.Store(c.anotherLeads(now))
 	c.tellPeers(now)
 	c.forgetPeers(now)
 	for _, gate := range c.gates {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -81,6 +81,8 @@
 	leading atomic.Bool
 	token   atomic.Uint64
 	deputy  atomic.Bool
+	// otherLeads is set while another VM is heard to lead.
+	otherLeads atomic.Bool
 
 	// traffic is set by the first request of a caller.
 	traffic atomic.Bool
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -64,8 +64,10 @@
 	holds      bool
 	// until is when the membership ends unless it is renewed, on this VM's clock.
 	until time.Time
-	// acting is set while this VM leads as deputy.
-	acting bool
+	// acting is set while this VM leads as deputy; storeBack is when the store
+	// answered again meanwhile.
+	acting    bool
+	storeBack time.Time
 	// fence is the fencing token of this VM's orders, 0 while it gives none.
 	fence     uint64
 	fenced    uint64 // the highest token that an engine refused
@@ -75,6 +77,8 @@
 	changedAt time.Time
 	count     int
 	deadSince map[fleet.UpstreamID]time.Time
+	// lackSince holds since when data centres lack layers.
+	lackSince map[fleet.DataCentreID]time.Time
 	askedAt   time.Time
 	lastPlan  layout.Plan
 }
@@ -112,9 +116,22 @@
 	return true
 }
 
+// anotherLeads reports whether a VM that was heard lately gives orders.
+func (c *control) anotherLeads(now time.Time) bool {
+	for _, p := range c.peers {
+		if p.Leading && now.Sub(p.heard) <= peerFresh {
+			return true
+		}
+	}
+	return false
+}
+
 // lead takes part in the choice of the leader and gives orders while this VM is it.
 func (g *Gateway) lead(ctx context.Context) {
-	l := &leader{g: g, orders: make(map[fleet.UpstreamID]*placed), deadSince: make(map[fleet.UpstreamID]time.Time)}
+	l := &leader{
+		g: g, orders: make(map[fleet.UpstreamID]*placed), deadSince: make(map[fleet.UpstreamID]time.Time),
+		lackSince: make(map[fleet.DataCentreID]time.Time),
+	}
 	touched := false
 	var renewAt time.Time
 	for pause(ctx, orderInterval) {
@@ -143,10 +160,18 @@
 // deputise begins or ends the lead without the store.
 func (l *leader) deputise() {
 	holding := l.holds && time.Now().Before(l.until)
+	if !l.acting || !l.g.control.storeIsUp() {
+		l.storeBack = time.Time{}
+	} else if l.storeBack.IsZero() {
+		l.storeBack = time.Now()
+	}
+	// The group may still count a member that ended in the outage, so that a deputy
+	// goes on until another VM leads or the group has had time to find out.
+	found := !l.storeBack.IsZero() && time.Since(l.storeBack) > leadTTL+leadRenew
 	switch {
-	case l.acting && (holding || l.g.control.storeIsUp()):
+	case l.acting && (holding || found || l.g.otherLeads.Load()):
 		l.acting = false
-		l.g.log.Log(event.PlacementLeaseLost).Uint64("epoch", l.fence).Str("reason", "store is back").Send()
+		l.g.log.Log(event.PlacementLeaseLost).Uint64("epoch", l.fence).Str("reason", "the group has a leader again").Send()
 	case !l.acting && !holding && l.g.deputy.Load():
 		l.acting = true
 		l.fence = l.g.token.Load() + 1
@@ -351,7 +376,7 @@
 	if fresh && now.Sub(l.changedAt) < settleTime && now.Sub(l.listedAt) < firstPlanBy {
 		return nil, false
 	}
-	plan := layout.Repair(e, engines)
+	plan := layout.Repair(e, engines, l.mayRevise(now, e, engines))
 	if fresh {
 		plan = layout.Fresh(e, engines)
 	}
@@ -366,6 +391,28 @@
 	return plan, true
 }
 
+// reviseAfter is how long a data centre must lack layers before it is planned anew:
+// longer than a crashed engine usually takes to come back.
+const reviseAfter = 5 * time.Second
+
+// mayRevise returns which data centres may be planned anew: those that have lacked
+// layers for long, and any while no data centre has a chain of its own.
+func (l *leader) mayRevise(now time.Time, e *catalog.Engine, engines []layout.Engine) func(fleet.DataCentreID) bool {
+	whole := 0
+	for _, x := range engines {
+		if layout.Whole(e, engines, x.DataCentre) {
+			delete(l.lackSince, x.DataCentre)
+			whole++
+		} else if _, known := l.lackSince[x.DataCentre]; !known {
+			l.lackSince[x.DataCentre] = now
+		}
+	}
+	return func(dc fleet.DataCentreID) bool {
+		since, lacks := l.lackSince[dc]
+		return lacks && (whole == 0 || now.Sub(since) > reviseAfter)
+	}
+}
+
 // freshTime bounds the time after the start in which loads count as cheap.
 const freshTime = 9 * time.Second
 
--- a/pkg/layout/layout_test.go
+++ b/pkg/layout/layout_test.go
@@ -77,6 +77,8 @@
 	}
 }
 
+func always(fleet.DataCentreID) bool { return true }
+
 // hold returns the engines with the ranges of a plan, less those lost.
 func hold(engines []layout.Engine, plan layout.Plan, lost ...fleet.UpstreamID) []layout.Engine {
 	var list []layout.Engine
@@ -101,7 +103,7 @@
 	engines := testEngines(e)
 	plan := layout.Fresh(e, engines)
 	left := hold(engines, plan, "c-a100s-0")
-	repaired := layout.Repair(e, left)
+	repaired := layout.Repair(e, left, always)
 	is.Equal(repaired["c-h100-0"], plan["c-h100-0"])
 	held := make([]bool, e.Layers)
 	for _, x := range left {
@@ -125,7 +127,7 @@
 	e := testEngine()
 	engines := testEngines(e)
 	plan := layout.Fresh(e, engines)
-	is.Equal(layout.Repair(e, hold(engines, plan)), plan)
+	is.Equal(layout.Repair(e, hold(engines, plan), always), plan)
 }
 
 // TestRepairExtendsNeighbours covers the loss of engines in a data centre without
@@ -136,7 +138,7 @@
 	engines := testEngines(e)
 	plan := layout.Fresh(e, engines)
 	left := hold(engines, plan, "a-l4-0", "a-l4-7")
-	repaired := layout.Repair(e, left)
+	repaired := layout.Repair(e, left, always)
 	held := make([]bool, e.Layers)
 	moved, loaded := 0, 0
 	for _, x := range left {
@@ -173,7 +175,7 @@
 	engines := testEngines(e)
 	plan := layout.Fresh(e, engines)
 	left := hold(engines, plan, "b-a100s-0", "b-t4-0", "b-t4-1", "b-t4-4", "b-t4-5", "b-t4-6")
-	repaired := layout.Repair(e, left)
+	repaired := layout.Repair(e, left, always)
 	holder := map[string]fleet.UpstreamID{}
 	for _, x := range left {
 		if x.DataCentre == "b" {
@@ -189,3 +191,21 @@
 		}
 	}
 }
+
+// TestRepairWaitsBeforeANewPlan covers a crash that second copies can't make up for:
+// until the caller asks for a new plan, engines that serve keep their layers.
+func TestRepairWaitsBeforeANewPlan(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	engines := testEngines(e)
+	plan := layout.Fresh(e, engines)
+	left := hold(engines, plan, "b-a100s-0", "b-t4-0", "b-t4-1", "b-t4-4", "b-t4-5", "b-t4-6")
+	repaired := layout.Repair(e, left, func(fleet.DataCentreID) bool { return false })
+	moved := 0
+	for _, x := range left {
+		if x.Holds.Len() > 0 && !repaired[x.ID].Contains(x.Holds) {
+			moved++
+		}
+	}
+	is.Equal(moved, 0)
+}
--- a/pkg/layout/repair.go
+++ b/pkg/layout/repair.go
@@ -11,8 +11,10 @@
 // Repair returns the plan that follows from what the engines hold. Engines keep
 // their ranges unless a layer is missing that only a second copy can replace;
 // empty engines take missing layers first and then the layers with the fewest
-// tokens left.
-func Repair(e *catalog.Engine, engines []Engine) Plan {
+// tokens left. A data centre whose layers can't be completed that way is planned
+// anew if revise says so for it: that moves most of its engines at once, while an
+// engine that crashed often comes back, empty, within seconds.
+func Repair(e *catalog.Engine, engines []Engine, revise func(fleet.DataCentreID) bool) Plan {
 	p := newPlanner(e)
 	plan := Plan{}
 	for _, x := range engines {
@@ -21,7 +23,7 @@
 		}
 	}
 	for _, dc := range dataCentres(engines) {
-		p.repairCentre(inCentre(engines, dc), plan)
+		p.repairCentre(inCentre(engines, dc), plan, revise(dc))
 	}
 	if !complete(e.Layers, engines, plan) {
 		return p.reviseAll(engines, plan)
@@ -40,17 +42,21 @@
 }
 
 // repairCentre completes the chains of one data centre.
-func (p *planner) repairCentre(engines []Engine, plan Plan) {
+func (p *planner) repairCentre(engines []Engine, plan Plan, revise bool) {
 	state := bySpeed(engines)
 	for {
 		gap := p.firstGap(state)
 		if gap.Len() == 0 {
 			break
 		}
-		if !p.fill(gap, state) {
+		if p.fill(gap, state) {
+			continue
+		}
+		if revise {
 			p.reviseCentre(engines, plan)
 			return
 		}
+		break
 	}
 	for _, e := range state {
 		if e.Holds.Len() > 0 {
