--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -341,6 +341,64 @@
 	d.eventually("the layers are served again", func() bool { n++; return d.generates(fmt.Sprintf("d%d", n)) })
 }
 
+// TestRunLeavesADrainingServer: a stream whose chain has a server that is about to
+// end goes on with another chain, each event once and in order.
+func TestRunLeavesADrainingServer(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.settings.Bounds.Drain = 500 * time.Millisecond
+	for _, e := range d.engines {
+		e.Events, e.Pause = 60, 100*time.Millisecond // 6 s: the entry is read each second
+	}
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	d.eventually("layers are placed", func() bool { return strings.Contains(d.log.String(), `"layers":"4-8","held"`) })
+	answers := make(chan reply, 1)
+	n := 0
+	d.eventually("a stream runs", func() bool {
+		n++
+		id := fmt.Sprintf("moved%d", n)
+		go func() {
+			if got := d.ask(http.MethodPost, "/gen/x", id, "k", "prompt"); got.status == http.StatusOK {
+				answers <- got
+			}
+		}()
+		for range 10 {
+			if d.runs.Of(id) == 1 {
+				return true
+			}
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-t.Context().Done():
+			}
+		}
+		return false
+	})
+	id := fmt.Sprintf("moved%d", n)
+	last := ""
+	d.eventually("its chain is logged", func() bool {
+		for line := range strings.SplitSeq(d.log.String(), "\n") {
+			var sent struct {
+				Name, Request string
+				Chain         []string
+			}
+			if json.Unmarshal([]byte(line), &sent) == nil && sent.Name == "request_sent" && sent.Request == id && len(sent.Chain) > 1 {
+				last, _, _ = strings.Cut(sent.Chain[len(sent.Chain)-1], "=")
+			}
+		}
+		return last != ""
+	})
+	for _, e := range d.engines {
+		if e.ID == last {
+			d.store.Put("keyed.servers", e.ID, e.Entry("model", "a", "draining"))
+		}
+	}
+	got := <-answers
+	is.NoErr(got.err)
+	checkStream(t, got.body, 1, 60)
+	is.Equal(d.runs.Of(id), 2)
+}
+
 // TestPlannedStopCutsNoRequest: a stream that runs when the stop is ordered ends whole,
 // and the VM says that it is not ready.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
