Release a chain that was reserved for a run which ended meanwhile

Cause: read as a newcomer, the control goroutine could reserve a chain for a run that had just ended; nobody released it, so that its memory counted as promised until the process ended. Ruled out by the test: a second reservation for the same run. Before: TestNoChainIsReservedForAnEndedRun fails (a promise is left). After: it passes.

--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -276,7 +276,7 @@
 func (g *generation) run(c *chain.Chain) (outcome, *chain.Chain, error) {
 	r := &run{chain: c, generation: g, movable: g.route.Resumable && g.runs+1 < max(g.route.Attempts, 1)}
 	got, why := g.runOn(r)
-	return got, r.next.Load(), why
+	return got, r.end(), why
 }
 
 func (g *generation) runOn(r *run) (outcome, error) {
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -46,13 +46,21 @@
 	movable bool
 	// generation is the request that it runs.
 	generation *generation
-	// next is the chain that was reserved before the run was ended for it.
+	// next is the chain that was reserved before the run was ended for it, runEnded
+	// once the run has ended.
 	next atomic.Pointer[chain.Chain]
 	// moveAt is the earliest time of the next look for such a chain; only the
 	// control goroutine uses it.
 	moveAt time.Time
 }
 
+// runEnded marks a run for which no chain may be reserved any more: nobody would
+// release it.
+var runEnded = new(chain.Chain)
+
+// end marks the run as ended and returns the chain that was reserved for the next one.
+func (r *run) end() *chain.Chain { return r.next.Swap(runEnded) }
+
 // streams are the runs in progress.
 type streams struct {
 	mu   sync.Mutex
@@ -156,7 +164,10 @@
 		g.gate.release(g.request, next)
 		return false
 	}
-	r.next.Store(next)
+	if !r.next.CompareAndSwap(nil, next) { // the run ended meanwhile
+		g.gate.release(g.request, next)
+		return false
+	}
 	return true
 }
 
