--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -43,7 +43,7 @@
 	Why        chain.Failure
 	RetryAfter time.Duration
 	Waited     time.Duration
-	// Ahead is the number of requests that waited before it.
+	// Ahead is the number of requests that waited when this one was refused.
 	Ahead int
 }
 
@@ -103,7 +103,7 @@
 	if len(q.waiting) == 0 || !q.preferred(now, r) {
 		c, failure := q.book.Reserve(now, r.Need, nil)
 		if failure == chain.NoFailure {
-			return append(out, q.start(now, r, c, 0, 0))
+			return append(out, q.start(now, r, c, 0))
 		}
 		if wait := q.predict(now, r); failure == chain.Full && wait > r.Patience {
 			return append(out, q.refuse(r, failure, wait, 0))
@@ -175,7 +175,7 @@
 			return out
 		}
 		q.waiting = slices.Delete(q.waiting, i, i+1)
-		out = append(out, q.start(now, w.Request, c, now.Sub(w.arrived), 0))
+		out = append(out, q.start(now, w.Request, c, now.Sub(w.arrived)))
 	}
 	return out
 }
@@ -185,11 +185,11 @@
 
 func tokens(n chain.Need) float64 { return float64(n.Prompt + n.Answer) }
 
-func (q *Queue) start(now time.Time, r Request, c *chain.Chain, waited time.Duration, ahead int) Action {
+func (q *Queue) start(now time.Time, r Request, c *chain.Chain, waited time.Duration) Action {
 	rateOf(q.started, r.Rank).add(now, 1)
 	q.starts.add(now, 1)
 	q.teams[r.Team] += tokens(r.Need)
-	return Action{Request: r.ID, Chain: c, Waited: waited, Ahead: ahead}
+	return Action{Request: r.ID, Chain: c, Waited: waited}
 }
 
 func (q *Queue) refuse(r Request, why chain.Failure, wait, waited time.Duration) Action {
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -14,7 +14,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -169,9 +168,6 @@
 	_ = a.conn.SetReadDeadline(deadline) // fails only on a closed connection, which the next read reports
 }
 
-// TimedOut reports whether a read ended for its time limit.
-func TimedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
-
 // Close ends the exchange. The connection is kept if the answer was read to its
 // marked end and nothing else came.
 func (a *Answer) Close() {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// readFailed notes a failed read and waits before the next one. After an outage
-// the topic is read whole, because its records may have expired meanwhile.
+// readFailed notes a failed read and waits before the next one, which goes on from
+// the same offset: a topic whose records expired meanwhile says so.
 func (g *Gateway) readFailed(ctx context.Context, reader *topicReader, err error) {
 	if ctx.Err() != nil {
 		return
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -59,7 +59,6 @@
 		byAddress: make(map[string]fleet.UpstreamID, len(list)), dead: make(map[fleet.UpstreamID]bool),
 	}
 	c.placeVMs(v)
-	duties := c.health
 	members := make([]roster.Upstream, 0, len(list))
 	for i, u := range list {
 		u.Layers = c.held(u)
@@ -70,9 +69,9 @@
 			members = append(members, u)
 		}
 	}
-	duties.SetMembers(c.duties(members))
+	c.health.SetMembers(c.duties(members))
 	for _, u := range members {
-		if duties.Weight(u.ID) <= 0 {
+		if c.health.Weight(u.ID) <= 0 {
 			v.dead[u.ID] = true
 		}
 	}
