Hold the retry budget across restarts and partitions of entry VMs

A VM behind a partition likewise took the whole slack for itself. Ruled out: repeats that a budget does not cover (every repeat takes from one), the ratio (earned by requests of the same window). After: a process that follows another one repeats only what its requests earn until a window has passed; VMs that are no longer heard keep their part for a minute. Conclusion: what must hold for all VMs together can't start anew with each process.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -154,6 +154,7 @@
 	if now.Sub(c.prunedAt) >= time.Second {
 		c.prunedAt = now
 		c.g.pool.Prune()
+		c.g.setRetryLimits(now)
 		for id, since := range c.drains {
 			if now.Sub(since) > drainsKept {
 				delete(c.drains, id)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -94,6 +94,10 @@
 	// is about to end: these could stay and must not use up what failures need.
 	retries *retry.Budget
 	moves   *retry.Budget
+	// retryHolders are the VMs that share them.
+	retryHolders retry.Holders
+	// retriesFull is set once the process is old enough for its part of the slack.
+	retriesFull bool
 
 	front, directory, ready, metrics *khttp.Server
 	running                          context.Context
@@ -115,8 +119,8 @@
 	})
 	g.view.Store(emptyView())
 	g.bounds.Store(&settings.Bounds)
-	g.retries = retry.New(g.retryConfig(1, 1-moveShare))
-	g.moves = retry.New(g.retryConfig(1, moveShare))
+	g.retries = retry.New(g.retryLimits(1, 1-moveShare))
+	g.moves = retry.New(g.retryLimits(1, moveShare))
 	g.running, g.cancel = context.WithCancel(context.Background())
 	g.control = newControl(g)
 	if err := g.listen(); err != nil {
@@ -225,37 +229,34 @@
 	return err
 }
 
-// retryConfig returns a share of this VM's part of the retry budget that all VMs
-// share.
-func (g *Gateway) retryConfig(vms int, share float64) retry.Config {
+// retryLimits returns the limits of a share of this VM's part of the retry budget
+// that all VMs share.
+func (g *Gateway) retryLimits(vms int, share float64) retry.Config {
 	b := g.bounds.Load()
-	slack := retrySafety * share * b.RetrySlack / float64(vms)
-	// What is saved as a burst and what accrues over the window together never
-	// exceed the slack in any window.
-	return retry.Config{
-		Ratio: retrySafety * share * b.RetryRatio, Burst: burstShare * slack,
-		MinPerSecond: (1 - burstShare) * slack / max(b.RetryWindow.Seconds(), 1),
+	shared := retry.Shared{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
+	age := time.Since(g.started)
+	if g.settings.FirstStart { // no process before this one used the budget
+		age = max(age, b.RetryWindow)
 	}
+	return shared.Part(vms, age, share)
 }
 
-// setRetryLimits follows the number of VMs and the bounds.
-func (g *Gateway) setRetryLimits(vms int) {
+// setRetryLimits follows the number of VMs, the bounds and this VM's age.
+func (g *Gateway) setRetryLimits(now time.Time) {
 	g.retryMu.Lock()
 	defer g.retryMu.Unlock()
-	g.retries.SetConfig(g.retryConfig(vms, 1-moveShare))
-	g.moves.SetConfig(g.retryConfig(vms, moveShare))
+	vms := g.retryHolders.Seen(now, g.view.Load().vms)
+	g.retries.SetConfig(g.retryLimits(vms, 1-moveShare))
+	g.moves.SetConfig(g.retryLimits(vms, moveShare))
+	if !g.retriesFull && !g.settings.FirstStart && now.Sub(g.started) >= g.bounds.Load().RetryWindow {
+		g.retriesFull = true
+		g.retries.Refill()
+		g.moves.Refill()
+	}
 }
 
-const (
-	// retrySafety is the part of the budget that is used: the number of VMs is known
-	// with a lag.
-	retrySafety = 0.85
-	// moveShare is the part of it for runs that leave a server.
-	moveShare = 0.35
-	// burstShare is the part of the slack that is saved for the loss of a server,
-	// which breaks all streams through it at once.
-	burstShare = 0.75
-)
+// moveShare is the part of the retry budget for runs that leave a server.
+const moveShare = 0.35
 
 // random returns a number in [0, 1).
 func random() float64 { return rand.Float64() }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -101,7 +101,6 @@
 		id = event.MemberLeaving
 	}
 	c.g.log.Log(id).Str("member", string(a.Member.ID)).Str("data_centre", string(a.Member.DataCentre)).Send()
-	c.g.setRetryLimits(1 + len(c.members.View().Members))
 }
 
 // heard takes in another VM's news.
--- a/pkg/gateway/reload.go
+++ b/pkg/gateway/reload.go
@@ -46,5 +46,5 @@
 // setBounds puts the limits of new settings in force.
 func (g *Gateway) setBounds(b platform.Bounds) {
 	g.bounds.Store(&b)
-	g.setRetryLimits(1 + len(g.control.members.View().Members))
+	g.setRetryLimits(time.Now())
 }
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -21,6 +21,8 @@
 	// Burst bounds the saved retries. The loss of a data centre breaks most
 	// generations of a VM at once, so it covers a VM's share of the batch slots.
 	Burst float64
+	// Empty is set when new budgets have nothing saved; otherwise they have Burst.
+	Empty bool
 }
 
 // DefaultConfig returns the documented defaults.
@@ -41,7 +43,7 @@
 	upstreams map[fleet.UpstreamID]*bucket
 }
 
-// New returns budgets with full buckets.
+// New returns budgets, with full buckets unless the configuration says otherwise.
 func New(cfg Config) *Budget {
 	return &Budget{cfg: cfg, teams: make(map[fleet.TeamID]*bucket), upstreams: make(map[fleet.UpstreamID]*bucket)}
 }
@@ -49,6 +51,16 @@
 // SetConfig replaces the limits and keeps what is saved.
 func (b *Budget) SetConfig(cfg Config) { b.cfg = cfg }
 
+// Refill fills all buckets.
+func (b *Budget) Refill() {
+	for _, k := range b.teams {
+		k.tokens = b.cfg.Burst
+	}
+	for _, k := range b.upstreams {
+		k.tokens = b.cfg.Burst
+	}
+}
+
 // Success books a success of the team on the upstream.
 func (b *Budget) Success(now time.Time, team fleet.TeamID, up fleet.UpstreamID) {
 	for _, k := range [2]*bucket{bucketOf(b, b.teams, team, now), bucketOf(b, b.upstreams, up, now)} {
@@ -89,7 +101,10 @@
 func bucketOf[K comparable](b *Budget, m map[K]*bucket, key K, now time.Time) *bucket {
 	k := m[key]
 	if k == nil {
-		k = &bucket{tokens: b.cfg.Burst, at: now}
+		k = &bucket{at: now}
+		if !b.cfg.Empty {
+			k.tokens = b.cfg.Burst
+		}
 		m[key] = k
 		return k
 	}
