Tests for 14 conditions whose inversion passed

Before: inverted one at a time, 14 passed. After: each of the 14 inversions fails a test of its package. Conclusion: summaries of a data centre, the grace of new permit owners and the last way of a plain service had no test.

--- a/pkg/admission/shares_test.go
+++ b/pkg/admission/shares_test.go
@@ -60,3 +60,20 @@
 	s.Forget(live[:1])
 	is.Equal(s.Fraction(epoch, live[:1]), 1.0)
 }
+
+// TestSlotShareAddsUp: the shares of all VMs make the total, and differ by one at most.
+func TestSlotShareAddsUp(t *testing.T) {
+	is := is.New(t)
+	for total := range 30 {
+		is.Equal(admission.SlotShare(total, 0, 0), total)
+		for vms := 1; vms <= 8; vms++ {
+			sum, least, most := 0, total, 0
+			for i := range vms {
+				n := admission.SlotShare(total, vms, i)
+				sum, least, most = sum+n, min(least, n), max(most, n)
+			}
+			is.Equal(sum, total)
+			is.True(most-least <= 1)
+		}
+	}
+}
--- a/pkg/outlier/outlier_test.go
+++ b/pkg/outlier/outlier_test.go
@@ -185,3 +185,50 @@
 	d.Probed(epoch, "a0", false, nil)
 	is.True(d.Ejected("a0"))
 }
+
+// TestLatencyOfAnotherDuty: an engine that was moved to other layers is not judged by
+// what its old ones took; one that stays keeps what is known of it.
+func TestLatencyOfAnotherDuty(t *testing.T) {
+	is := is.New(t)
+	measured := func() *outlier.Detector {
+		d := newDetector(5)
+		for range 50 {
+			for i := range 5 {
+				latency := 10 * time.Millisecond
+				if i == 3 {
+					latency = 50 * time.Millisecond
+				}
+				d.Succeeded(epoch, fleet.UpstreamID(fmt.Sprint("a", i)), latency, nil)
+			}
+		}
+		return d
+	}
+	same := measured()
+	same.SetMembers(halves(5))
+	is.Equal(same.Tick(epoch, nil), []outlier.Action{{Kind: outlier.Eject, Upstream: "a3", Reason: outlier.ReasonLatency}})
+
+	moved := measured()
+	members := halves(5)
+	for i := range members {
+		if members[i].ID == "a3" {
+			members[i].Layers = fleet.LayerRange{First: 20, End: 40}
+		}
+	}
+	moved.SetMembers(members)
+	is.Equal(len(moved.Tick(epoch, nil)), 0)
+}
+
+// TestLastServerOfARoute: the last server of a route is probed before it is taken
+// out; servers of other routes, ejected ones and engines are no replacement.
+func TestLastServerOfARoute(t *testing.T) {
+	is := is.New(t)
+	d := outlier.New(outlier.DefaultConfig())
+	d.SetMembers([]outlier.Member{
+		{ID: "s0", Route: "stock"}, {ID: "s1", Route: "stock"}, {ID: "b0", Route: "booking"}, {ID: "b1", Route: "booking"},
+		{ID: "e0", Route: "stock", Model: "m", Layers: fleet.LayerRange{First: 0, End: 4}, ModelLayers: 4},
+		{ID: "e1", Model: "m", Layers: fleet.LayerRange{First: 0, End: 4}, ModelLayers: 4},
+	})
+	is.Equal(d.Refused(epoch, "s0", nil)[0].Kind, outlier.Eject)
+	is.Equal(d.Refused(epoch, "s1", nil)[0].Kind, outlier.Probe)
+	is.Equal(d.Refused(epoch, "b0", nil)[0].Kind, outlier.Eject)
+}
--- /dev/null
+++ b/pkg/quarantine/owner_test.go
@@ -0,0 +1,67 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/quarantine"
+)
+
+// suspected returns a tracker to which a body is known from a crash.
+func suspected(vms ...fleet.VMID) (*quarantine.Tracker, quarantine.Fingerprint, time.Time) {
+	now := time.Unix(1e9, 0)
+	t := quarantine.New(quarantine.DefaultConfig(), "vm0")
+	if len(vms) > 0 {
+		t.SetVMs(now.Add(-time.Hour), vms)
+	}
+	f := quarantine.Of("t", "m", []byte("a body that was there when an engine ended"))
+	t.Started(now, "first", &f, []fleet.UpstreamID{"e"})
+	t.Crashed(now, quarantine.CrashID{Upstream: "e", Incarnation: "1"}, nil)
+	t.Ended(now, "first", false, nil)
+	return t, f, now
+}
+
+// allowedAfter admits a request and returns the time until it may run.
+func allowedAfter(t *testing.T, tracker *quarantine.Tracker, now time.Time, f *quarantine.Fingerprint) time.Duration {
+	t.Helper()
+	actions := tracker.Admit(now, "second", f, nil)
+	for at := time.Duration(0); at <= time.Minute; at += 10 * time.Millisecond {
+		for _, a := range append(actions, tracker.Tick(now.Add(at), nil)...) {
+			if a.Kind == quarantine.Allow {
+				return at
+			}
+		}
+		actions = nil
+	}
+	t.Fatal("not allowed within a minute")
+	return 0
+}
+
+// TestNoPermitRightAfterOwnersChange: the new owner of a suspicion does not know the
+// permits of the one before until their holders have renewed them.
+func TestNoPermitRightAfterOwnersChange(t *testing.T) {
+	is := is.New(t)
+	grace := quarantine.DefaultConfig().PermitFor / 2
+	tracker, f, now := suspected("vm0", "vm1")
+	tracker.SetVMs(now, []fleet.VMID{"vm0"}) // vm1 is gone, and may have granted a permit
+	is.True(allowedAfter(t, tracker, now, &f) >= grace)
+
+	// A VM that was alone has granted every permit itself and need not wait.
+	alone, f, now := suspected("vm0")
+	is.True(allowedAfter(t, alone, now, &f) < grace)
+}
+
+// TestOnlyAPermitIsGivenBack: the owner hears of the end of a run that it permitted,
+// and of no other.
+func TestOnlyAPermitIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	tracker, f, now := suspected("vm0", "vm1", "vm2", "vm3", "vm4", "vm5", "vm6", "vm7")
+	tracker.Started(now, "copy", &f, []fleet.UpstreamID{"e2"}) // began before the crash was known
+	for _, a := range tracker.Ended(now, "copy", true, nil) {
+		is.True(a.Message.Kind != quarantine.Done)
+		is.True(a.Message.Kind != quarantine.Cleared)
+	}
+}
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -65,3 +65,19 @@
 	ok, _ = b.Allow(now.Add(after), "third", "down")
 	is.True(ok)
 }
+
+// TestPruneForgetsOnlyIdleBudgets: a budget in use stays used up; one that was idle for
+// long is full again.
+func TestPruneForgetsOnlyIdleBudgets(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(retry.Config{Ratio: 0.1, Burst: 1})
+	now := time.Unix(1e9, 0)
+	ok, _ := b.Allow(now, "t", "u")
+	is.True(ok)
+	b.Prune(now.Add(time.Minute))
+	ok, _ = b.Allow(now.Add(time.Minute), "t", "u")
+	is.True(!ok) // nothing was earned
+	b.Prune(now.Add(time.Hour))
+	ok, _ = b.Allow(now.Add(time.Hour), "t", "u")
+	is.True(ok)
+}
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -276,3 +276,28 @@
 		})
 	}
 }
+
+// TestLeastLoaded guards the baseline against taking a loaded candidate.
+func TestLeastLoaded(t *testing.T) {
+	is := is.New(t)
+	is.Equal(route.LeastLoaded{}.Pick(nil, []route.Candidate{{Load: 0.5}, {Load: 0.1}, {Load: 0.9}, {Load: 0.1}}), 1)
+}
+
+// TestConcurrency: the scarcest layers bound what a model can run, by engines that
+// take work; an unknown model runs nothing.
+func TestConcurrency(t *testing.T) {
+	is := is.New(t)
+	in := threeDCs(8) // two engines of 16 slots a quarter
+	for i := range in.Engines {
+		in.Engines[i].Weight = 1
+	}
+	is.Equal(route.Build(in).Concurrency("m"), 32)
+	is.Equal(route.Build(in).Concurrency("other"), 0)
+	in.Engines[2].Leaving = true
+	is.Equal(route.Build(in).Concurrency("m"), 16)
+	in.Engines[6].Weight = 0.25
+	is.Equal(route.Build(in).Concurrency("m"), 4)
+	in.Models[0].Layers = 0
+	in.Engines = nil
+	is.Equal(route.Build(in).Concurrency("m"), 0)
+}
