--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -26,6 +26,9 @@
 	Stream
 )
 
+// String returns the kind's name, as metrics and logs spell it.
+func (r Repeat) String() string { return [...]string{"once", "repeatable", "stream"}[r] }
+
 // ServiceID identifies a service.
 type ServiceID string
 
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -105,6 +105,7 @@
 	if now.Sub(c.placedAt) >= placement.TickInterval {
 		c.placedAt = now
 		c.placer.handle(now, placement.Tick{})
+		c.server.log.Suppressed()
 	}
 	c.publish(now)
 	c.server.gate.tick()
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -131,6 +131,7 @@
 	s.leave()
 	s.cancel()
 	s.watchers.Wait()
+	s.log.Suppressed()
 	s.log.Log(event.Stopped).AnErr("reason", err).Send()
 	return err
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -18,9 +19,10 @@
 	level zerolog.Level
 }
 
-// Logger writes numbered events.
+// Logger writes numbered events. The lines of each event are bounded in rate.
 type Logger struct {
-	z zerolog.Logger
+	z     zerolog.Logger
+	limit *limiter
 }
 
 // timeFormat has milliseconds: decisions about a request follow each other within a second.
@@ -31,18 +33,37 @@
 
 // New returns a Logger that writes JSON lines to w, each naming the VM.
 func New(w io.Writer, vm string, level zerolog.Level) *Logger {
-	return &Logger{z: zerolog.New(w).Level(level).With().Timestamp().Str("vm", vm).Logger()}
+	return &Logger{
+		z:     zerolog.New(w).Level(level).With().Timestamp().Str("vm", vm).Logger(),
+		limit: &limiter{now: time.Now, buckets: make(map[ID]*lineBucket)},
+	}
 }
 
 // Discard returns a Logger that writes nothing.
 func Discard() *Logger { return &Logger{z: zerolog.Nop()} }
 
-// Log starts the line of an event. The caller adds fields and ends it with Send.
+// Log starts the line of an event. The caller adds fields and ends it with Send. A
+// line above the event's rate is nil, which takes fields and writes nothing.
 func (l *Logger) Log(id ID) *zerolog.Event {
 	d := definitions[id]
+	if d.level < l.z.GetLevel() || l.limit != nil && !l.limit.allow(id) {
+		return nil
+	}
 	return l.z.WithLevel(d.level).Int("event", int(id)).Str("name", d.name)
 }
 
+// Suppressed writes how many lines of each event were held back since the last call.
+// The process calls it now and then, and before it ends.
+func (l *Logger) Suppressed() {
+	if l.limit == nil {
+		return
+	}
+	for id, lines := range l.limit.suppressed() {
+		l.z.WithLevel(definitions[LinesSuppressed].level).Int("event", int(LinesSuppressed)).Str("name", LinesSuppressed.Name()).
+			Int("of", int(id)).Str("of_name", id.Name()).Uint64("lines", lines).Send()
+	}
+}
+
 // Name returns the event's name as the catalogue spells it.
 func (id ID) Name() string { return definitions[id].name }
 
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -12,6 +12,7 @@
 	TransportWarning ID = 106
 	LinesDropped     ID = 107
 	Reloaded         ID = 108
+	LinesSuppressed  ID = 109
 )
 
 // Request events.
@@ -98,6 +99,7 @@
 
 	LinesDropped:     {"lines_dropped", zerolog.WarnLevel},
 	Reloaded:         {"settings_reloaded", zerolog.InfoLevel},
+	LinesSuppressed:  {"lines_suppressed", zerolog.WarnLevel},
 	ConfigInForce:    {"config_in_force", zerolog.InfoLevel},
 	ConfigRejected:   {"config_rejected", zerolog.ErrorLevel},
 	EntryRejected:    {"upstream_entry_rejected", zerolog.WarnLevel},
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -192,14 +192,15 @@
 	case e.Outcome != result.NotRun && promises(status):
 		status = http.StatusBadGateway
 	}
-	id := event.RequestFailed
+	id, outcome := event.RequestFailed, "failed"
 	if e.Outcome == result.NotRun {
-		id = event.RequestRefused
+		id, outcome = event.RequestRefused, "refused"
 	}
 	if c.gone() {
-		id = event.RequestCancelled
+		id, outcome = event.RequestCancelled, "cancelled"
 	}
 	c.g.stats.Count("refused", "code", e.Code.Name())
+	c.observe(outcome, status)
 	line := c.line(id).Int("code", int(e.Code)).Str("reason", e.Code.Name()).Str("outcome", string(e.Outcome)).
 		Int("status", status).Int64("retry_after_ms", e.RetryAfter.Milliseconds())
 	line.AnErr("cause", e.Unwrap()).Send()
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -87,9 +87,11 @@
 	}
 	g.waited = action.Waited
 	if action.Chain == nil {
+		c.g.stats.Waited("refused", g.waited)
 		g.refused(action)
 		return
 	}
+	c.g.stats.Waited("started", g.waited)
 	g.serve(action.Chain)
 }
 
@@ -190,6 +192,7 @@
 // early must not look whole.
 func (g *generation) broken(code result.Code, why error) {
 	g.g.stats.Count("streams_broken")
+	g.observe("broken", 0)
 	g.line(event.StreamBroken).Int("code", int(code)).Str("last_event", g.events.LastID()).Int("runs", g.runs).AnErr("cause", why).Send()
 	panic(http.ErrAbortHandler)
 }
@@ -404,6 +407,7 @@
 			g.g.control.failed(r.chain.Stages[0].Server)
 			return unknown, io.ErrUnexpectedEOF
 		}
+		g.g.stats.LongestGap(g.rank, g.longestGap)
 		g.done(http.StatusOK, func(e *zerolog.Event) {
 			e.Int64("first_event_ms", g.firstEvent.Milliseconds()).Int64("longest_gap_ms", g.longestGap.Milliseconds()).
 				Int64("waited_ms", g.waited.Milliseconds()).Int("runs", g.runs+1).Str("last_event", g.events.LastID())
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -122,6 +122,7 @@
 // cancelled ends the connection of a caller that has left.
 func (c *call) cancelled() {
 	c.g.stats.Count("cancelled")
+	c.observe("cancelled", 0)
 	c.line(event.RequestCancelled).Send()
 	panic(http.ErrAbortHandler)
 }
@@ -325,8 +326,11 @@
 
 // done logs an answered request and books its time.
 func (c *call) done(status int, more func(*zerolog.Event)) {
-	took := time.Since(c.arrived)
-	c.g.stats.Answered(c.rank, status, took)
+	outcome := "whole"
+	if status >= http.StatusBadRequest {
+		outcome = "server_failure"
+	}
+	took := c.observe(outcome, status)
 	line := c.line(event.RequestDone).Int("status", status).Int64("ms", took.Milliseconds())
 	if more != nil {
 		more(line)
@@ -334,6 +338,18 @@
 	line.Send()
 }
 
+// observe books the end of a request in the metrics; status is 0 when its caller got
+// no whole answer.
+func (c *call) observe(outcome string, status int) time.Duration {
+	took := time.Since(c.arrived)
+	kind := "unknown" // no route
+	if c.route != nil {
+		kind = c.route.Repeat.String()
+	}
+	c.g.stats.Answered(kind, outcome, c.rank, status, took)
+	return took
+}
+
 // line begins a log line about the request.
 func (c *call) line(id event.ID) *zerolog.Event {
 	line := c.g.log.Log(id).Str("request", string(c.caller.ID))
--- a/pkg/stats/stats.go
+++ b/pkg/stats/stats.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -15,13 +16,6 @@
 	"github.com/cornelline/cornelline/pkg/result"
 )
 
-// Samples kept by a latency histogram, and the weight of recent ones. The pair
-// keeps the last five minutes or so (the defaults of go-metrics' documentation).
-const (
-	reservoirSize  = 1028
-	reservoirAlpha = 0.015
-)
-
 // Stats is the set of metrics of one VM. It is safe for concurrent use.
 type Stats struct {
 	registry metrics.Registry
@@ -52,10 +46,21 @@
 	s.observe("first_token_team_ms", d, "team", string(team))
 }
 
-// Answered counts a request by the status of its answer and records its duration.
-func (s *Stats) Answered(rank, status int, d time.Duration) {
-	s.count("answered", "rank", fmt.Sprint(rank), "status", fmt.Sprint(status))
-	s.observe("answer_ms", d, "rank", fmt.Sprint(rank))
+// Answered counts a request by its kind, its rank and the status of its answer, and
+// records its duration by kind and outcome.
+func (s *Stats) Answered(kind, outcome string, rank, status int, d time.Duration) {
+	s.count("answered", "kind", kind, "rank", fmt.Sprint(rank), "status", fmt.Sprint(status))
+	s.observe("answer_ms", d, "kind", kind, "outcome", outcome)
+}
+
+// Waited records the time that a generation waited for its chain.
+func (s *Stats) Waited(outcome string, d time.Duration) {
+	s.observe("waited_ms", d, "outcome", outcome)
+}
+
+// LongestGap records the longest time between two events of a stream.
+func (s *Stats) LongestGap(rank int, d time.Duration) {
+	s.observe("longest_gap_ms", d, "rank", fmt.Sprint(rank))
 }
 
 // FirstEvent records the time from arrival to the first event of a stream.
@@ -89,9 +94,10 @@
 }
 
 func (s *Stats) observe(name string, d time.Duration, labels ...string) {
-	newSample := func() metrics.Sample { return metrics.NewExpDecaySample(reservoirSize, reservoirAlpha) }
-	h := s.registry.GetOrRegister(key(name, labels), func() metrics.Histogram { return metrics.NewHistogram(newSample()) })
-	h.(metrics.Histogram).Update(d.Milliseconds())
+	made := s.registry.GetOrRegister(key(name, labels), func() *histogram { return newHistogram(slices.Contains(labels, "team")) })
+	if h, ok := made.(*histogram); ok {
+		h.record(time.Now(), d)
+	}
 }
 
 // key returns name{k="v",...}, the form in which WriteText prints it.
@@ -106,9 +112,6 @@
 	return "cornelline_" + name + "{" + strings.Join(pairs, ",") + "}"
 }
 
-// quantiles are those printed for each histogram.
-var quantiles = []float64{0.5, 0.95, 0.99}
-
 // WriteText writes all metrics in the Prometheus text format. A non-empty team
 // limits the output to the metrics that carry this team's label.
 func (s *Stats) WriteText(w io.Writer, team fleet.TeamID) error {
@@ -129,17 +132,8 @@
 		return []string{fmt.Sprintf("%s %d\n", name, m.Count())}
 	case metrics.Gauge:
 		return []string{fmt.Sprintf("%s %d\n", name, m.Value())}
-	case metrics.Histogram:
-		return formatHistogram(name, m.Snapshot())
+	case *histogram:
+		return m.format(name, time.Now())
 	}
 	return nil
 }
-
-func formatHistogram(name string, h metrics.Histogram) []string {
-	base, labels, _ := strings.Cut(strings.TrimSuffix(name, "}"), "{")
-	lines := []string{fmt.Sprintf("%s_count{%s} %d\n", base, labels, h.Count())}
-	for i, v := range h.Percentiles(quantiles) {
-		lines = append(lines, fmt.Sprintf("%s{%s,quantile=\"%g\"} %.0f\n", base, labels, quantiles[i], v))
-	}
-	return lines
-}
