--- a/pkg/exchange/dial.go
+++ b/pkg/exchange/dial.go
@@ -11,10 +11,12 @@
 
 // Dialer returns a dial function with a time limit for the connection and one
 // for sent bytes that the other side does not acknowledge, so that a connection
-// behind a partition ends.
-func Dialer(connect, unacknowledged time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+// behind a partition ends. With keepAlive above zero, an idle connection is probed
+// at that interval and ends after a probe without an answer.
+func Dialer(connect, unacknowledged, keepAlive time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
 	d := &net.Dialer{
 		Timeout: connect, KeepAlive: -1,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: keepAlive > 0, Idle: keepAlive, Interval: keepAlive, Count: 1},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
 			err := raw.Control(func(fd uintptr) {
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -54,7 +54,7 @@
 
 func newPool() *exchange.Pool {
 	return exchange.New(exchange.Config{
-		Dial: exchange.Dialer(time.Second, time.Second), KeepIdle: time.Minute, MaxIdle: 4, Now: time.Now,
+		Dial: exchange.Dialer(time.Second, time.Second, 0), KeepIdle: time.Minute, MaxIdle: 4, Now: time.Now,
 		IsAnswer:  func(id string, _ int, h http.Header) bool { return h.Get("Id") == id },
 		IdleLimit: func(http.Header) time.Duration { return 0 },
 	})
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -12,6 +12,7 @@
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/outlier"
+	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/roster"
 	"github.com/cornelline/cornelline/platform"
 )
@@ -58,7 +59,7 @@
 
 	dirty    bool   // a new view must be published
 	sequence uint64 // of the news to the other VMs
-	toldAt   time.Time
+	news     peering.NewsTimer
 	prunedAt time.Time
 }
 
@@ -146,6 +147,8 @@
 	c.sweep(now)
 	c.g.deputy.Store(c.mayDeputise(now))
 	c.g.otherLeads.Store(c.anotherLeads(now))
+	c.g.readsForAll.Store(c.readsForAll(now))
+	c.g.candidate.Store(c.isCandidate(now))
 	c.tellPeers(now)
 	c.forgetPeers(now)
 	for _, gate := range c.gates {
@@ -154,6 +157,7 @@
 	if now.Sub(c.prunedAt) >= time.Second {
 		c.prunedAt = now
 		c.g.pool.Prune()
+		c.g.log.Suppressed()
 		c.g.setRetryLimits(now)
 		for id, since := range c.drains {
 			if now.Sub(since) > drainsKept {
@@ -180,6 +184,7 @@
 			return
 		}
 		c.catalog, c.config, c.dirty = compiled, data, true
+		c.news.TellNow()
 		c.g.log.Log(event.ConfigInForce).Uint64("version", compiled.Version).Str("source", source).Send()
 		c.publish(now)
 	})
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -13,23 +13,26 @@
 
 const (
 	// configWait is how long a read of the operator's topic stays open. A change is
-	// answered at once; a connection that went silent is noticed after it and
-	// configTimeout, within the 3 s that the platform allows.
-	configWait    = 2000 * time.Millisecond
-	configTimeout = 2600 * time.Millisecond
-	// upstreamInterval is the time between two reads of the upstreams' topic. Many
-	// entries are gathered in one read, because calls to the store are priced; a
-	// draining upstream must get no work after 2 s.
+	// answered at once. A connection that went silent ends by its keep-alive probes,
+	// and other VMs tell of a newer configuration.
+	configWait    = 8000 * time.Millisecond
+	configTimeout = configWait + storeTimeout
+	// upstreamInterval is the time between two reads of the upstreams' topic by the
+	// VM that reads it for all. Many entries are gathered in one read, because calls
+	// to the store are priced; a draining upstream must get no work after 2 s.
 	upstreamInterval = 1000 * time.Millisecond
-	// upstreamFewVMs is the fleet above which the interval grows up to
-	// upstreamMaxInterval, so that the store's rate is not spent on reads.
-	upstreamFewVMs      = 16
-	upstreamMaxInterval = 1200 * time.Millisecond
+	// listingLate is the time without a listing of another VM after which a VM reads
+	// the topic itself; it leaves time for that read within the 2 s above.
+	listingLate = 1500 * time.Millisecond
+	// listingQueue bounds the listings that wait to be taken in.
+	listingQueue = 16
 	// storeTimeout bounds a call to the store, whose answer usually takes 4 ms; on a
 	// slow day it takes 60 times as long.
 	storeTimeout = 1500 * time.Millisecond
-	// storeRetry is the pause after a failed call.
-	storeRetry = 300 * time.Millisecond
+	// storeRetry is the pause after a failed call in a fleet of up to storeFewVMs; it
+	// grows with the number of VMs, whose calls the store limits together.
+	storeRetry  = 300 * time.Millisecond
+	storeFewVMs = 8
 )
 
 // pause waits and reports false when ctx ended first.
@@ -44,47 +47,21 @@
 	}
 }
 
-// topicReader follows a keyed topic.
-type topicReader struct {
-	g     *Gateway
-	topic string
-	// next is the offset to read from; whole is set when the topic must be read whole.
-	next  uint64
-	whole bool
-}
-
-// read returns the news of the topic. all says that the page holds the newest
-// record of every key.
-func (t *topicReader) read(ctx context.Context, wait, limit time.Duration) (page platform.Page, all bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if t.whole {
-		if page, err = t.g.store.Newest(ctx, t.topic); err != nil {
-			return page, false, err
-		}
-		t.next, t.whole = page.End, false
-		return page, true, nil
-	}
-	page, err = t.g.store.ReadKeyed(ctx, t.topic, t.next, wait)
-	if errors.Is(err, platform.ErrExpired) {
-		t.whole = true
-		return platform.Page{}, false, nil
-	}
-	if err == nil {
-		t.next = page.End
-	}
-	return page, false, err
-}
-
 // followConfig keeps the configuration up to date until ctx ends.
 func (g *Gateway) followConfig(ctx context.Context) {
-	reader := &topicReader{g: g, topic: platform.OperatorTopic, whole: true}
+	var next uint64
+	whole := true
 	for ctx.Err() == nil {
-		page, _, err := reader.read(ctx, configWait, configTimeout)
+		page, err := g.readTopic(ctx, platform.OperatorTopic, next, whole, configWait, configTimeout)
+		if errors.Is(err, platform.ErrExpired) {
+			whole = true
+			continue
+		}
 		if err != nil {
-			g.readFailed(ctx, reader, err)
+			g.readFailed(ctx, platform.OperatorTopic, err)
 			continue
 		}
+		next, whole = page.End, false
 		g.control.storeAnswered()
 		var newest []byte
 		for _, r := range page.Records {
@@ -100,48 +77,91 @@
 	}
 }
 
-// followUpstreams keeps the list of upstreams up to date until ctx ends.
-func (g *Gateway) followUpstreams(ctx context.Context) {
-	reader := &topicReader{g: g, topic: platform.UpstreamTopic, whole: true}
-	for ctx.Err() == nil {
-		page, all, err := reader.read(ctx, 0, storeTimeout)
-		if err != nil {
-			g.readFailed(ctx, reader, err)
-			continue
-		}
-		g.control.storeAnswered()
-		g.upstreamsRead(page, all)
-		if reader.whole || all {
-			continue
-		}
-		interval := min(upstreamMaxInterval, upstreamInterval*time.Duration(max(1, g.view.Load().vms/upstreamFewVMs)))
-		if !pause(ctx, interval) {
-			return
-		}
+// readTopic reads a keyed topic from an offset on or whole.
+func (g *Gateway) readTopic(ctx context.Context, topic string, from uint64, whole bool, wait, limit time.Duration) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if whole {
+		return g.store.Newest(ctx, topic)
 	}
+	return g.store.ReadKeyed(ctx, topic, from, wait)
 }
 
 // readFailed notes a failed read and waits before the next one, which goes on from
 // the same offset: a topic whose records expired meanwhile says so.
-func (g *Gateway) readFailed(ctx context.Context, reader *topicReader, err error) {
+func (g *Gateway) readFailed(ctx context.Context, topic string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	g.control.storeFailed(reader.topic, err)
-	pause(ctx, storeRetry)
+	g.control.storeFailed(topic, err)
+	pause(ctx, storeRetry*time.Duration(max(1, g.view.Load().vms/storeFewVMs)))
 }
 
-// upstreamsRead hands entries of upstreams to the control goroutine.
-func (g *Gateway) upstreamsRead(page platform.Page, all bool) {
-	type entry struct {
-		upstream roster.Upstream
-		id       fleet.UpstreamID
-		removed  bool
+// followUpstreams keeps the list of upstreams up to date until ctx ends. One VM
+// reads the topic for all and tells the others; each reads it itself at its start,
+// and when it does not hear of it in time.
+func (g *Gateway) followUpstreams(ctx context.Context) {
+	follower := roster.NewFollower()
+	late := time.NewTimer(0)
+	defer late.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-g.listings:
+			switch next, _ := follower.Next(); {
+			case follower.Hear(l):
+				g.take(l, false, false)
+				late.Reset(g.listingWait())
+			case l.From > next: // one was missed
+				late.Reset(0)
+			}
+			continue
+		case <-late.C:
+		}
+		if g.readUpstreams(ctx, follower) {
+			late.Reset(g.listingWait())
+		} else {
+			late.Reset(0)
+		}
+	}
+}
+
+// listingWait returns the time to the next own read of the upstreams' topic. VMs that
+// miss a listing do not all read at the same moment.
+func (g *Gateway) listingWait() time.Duration {
+	if g.readsForAll.Load() {
+		return upstreamInterval
+	}
+	return listingLate + time.Duration(random()*float64(listingLate)/8)
+}
+
+// readUpstreams reads the upstreams' topic and reports false when it must be read
+// again at once.
+func (g *Gateway) readUpstreams(ctx context.Context, follower *roster.Follower) bool {
+	next, whole := follower.Next()
+	begun := follower.Begun()
+	page, err := g.readTopic(ctx, platform.UpstreamTopic, next, whole, 0, storeTimeout)
+	if errors.Is(err, platform.ErrExpired) {
+		follower.Expired()
+		return false
 	}
-	entries := make([]entry, 0, len(page.Records))
+	if err != nil {
+		g.readFailed(ctx, platform.UpstreamTopic, err)
+		return false
+	}
+	g.control.storeAnswered()
+	l := follower.Read(g.decodeEntries(page), page.End, whole)
+	g.take(l, true, begun)
+	return !whole // what changed while the whole topic was read follows at once
+}
+
+// decodeEntries decodes a page of the upstreams' topic.
+func (g *Gateway) decodeEntries(page platform.Page) []roster.Entry {
+	entries := make([]roster.Entry, 0, len(page.Records))
 	for _, r := range page.Records {
 		if r.Value == nil {
-			entries = append(entries, entry{id: fleet.UpstreamID(r.Key), removed: true})
+			entries = append(entries, roster.Entry{Upstream: roster.Upstream{ID: fleet.UpstreamID(r.Key)}, Removed: true})
 			continue
 		}
 		u, err := platform.DecodeUpstream(r.Key, r.Value)
@@ -150,33 +170,28 @@
 			g.log.Log(event.EntryRejected).Str("upstream", r.Key).Err(err).Send()
 			continue
 		}
-		entries = append(entries, entry{upstream: u, id: u.ID})
+		entries = append(entries, roster.Entry{Upstream: u})
 	}
+	return entries
+}
+
+// take hands a listing to the control goroutine. One that was read here may be told to
+// the other VMs if this VM reads for all.
+func (g *Gateway) take(l roster.Listing, own, tell bool) {
 	g.control.post(func(now time.Time) {
 		c := g.control
-		var changes []roster.Change
-		if all {
-			list := make([]roster.Upstream, 0, len(entries))
-			for _, e := range entries {
-				if !e.removed {
-					list = append(list, e.upstream)
-				}
-			}
-			changes = c.roster.Replace(now, list, nil)
-			for _, u := range list {
-				c.entryRead(now, u.ID)
-			}
+		if own {
+			l.SoundFor = c.roster.SoundFor(now)
+		}
+		if tell && g.readsForAll.Load() {
+			c.tellListing(l)
+		}
+		if !c.listed {
 			c.listed, c.dirty = true, true
-		} else {
-			for _, e := range entries {
-				if e.removed {
-					changes = c.roster.Remove(now, e.id, changes)
-				} else {
-					changes = c.roster.Put(e.upstream, changes)
-					c.entryRead(now, e.id)
-				}
-			}
 		}
-		c.upstreamsChanged(now, changes)
+		c.upstreamsChanged(now, c.roster.Take(now, l, nil))
+		for id := range c.layers { // every entry is as new as the listing
+			c.entryRead(now, id)
+		}
 	})
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/result"
 	"github.com/cornelline/cornelline/pkg/retry"
+	"github.com/cornelline/cornelline/pkg/roster"
 	"github.com/cornelline/cornelline/pkg/stats"
 	"github.com/cornelline/cornelline/pkg/wire"
 	"github.com/cornelline/cornelline/platform"
@@ -40,6 +41,9 @@
 	// unacknowledgedTimeout ends a connection whose sent bytes the other side does
 	// not acknowledge: several retransmissions on a link that loses packets.
 	unacknowledgedTimeout = 2 * time.Second
+	// storeKeepAlive is the interval of keep-alive probes on connections to the store,
+	// on which reads stay open: one that went silent ends within two of them.
+	storeKeepAlive = time.Second
 	// keepIdle is how long an idle connection to an upstream is kept. Grown
 	// deployments drop idle ones without notice, so that old ones are a risk.
 	keepIdle = 4 * time.Second
@@ -81,9 +85,16 @@
 	leading atomic.Bool
 	token   atomic.Uint64
 	deputy  atomic.Bool
+	// candidate is set while this VM stays in the group from which the leader comes.
+	candidate atomic.Bool
 	// otherLeads is set while another VM is heard to lead.
 	otherLeads atomic.Bool
 
+	// readsForAll is set while this VM reads the list of upstreams for all of them;
+	// listings are those of another VM that does.
+	readsForAll atomic.Bool
+	listings    chan roster.Listing
+
 	// traffic is set by the first request of a caller.
 	traffic atomic.Bool
 
@@ -107,11 +118,12 @@
 
 // New returns a gateway that listens on its addresses but does not serve yet.
 func New(settings platform.Settings, log *event.Logger, output *event.Writer) (*Gateway, error) {
-	dial := exchange.Dialer(connectTimeout, unacknowledgedTimeout)
+	dial := exchange.Dialer(connectTimeout, unacknowledgedTimeout, 0)
 	g := &Gateway{
 		settings: settings, log: log, output: output, stats: stats.New(), started: time.Now(),
-		store: platform.NewStore(settings.Store.Address, dial), servers: platform.NewServers(dial),
+		store: platform.NewStore(settings.Store.Address, exchange.Dialer(connectTimeout, unacknowledgedTimeout, storeKeepAlive)), servers: platform.NewServers(dial),
 		stopper: newStopper(), streams: newStreams(), crashes: newCrashes(),
+		listings: make(chan roster.Listing, listingQueue),
 	}
 	g.pool = exchange.New(exchange.Config{
 		Dial: dial, KeepIdle: keepIdle, MaxIdle: maxIdle, Now: time.Now,
@@ -224,6 +236,7 @@
 	}
 	g.cancel()
 	_ = g.peers.Close() // the process ends: a listener that fails to close changes nothing
+	g.log.Suppressed()
 	g.log.Log(event.Stopped).AnErr("reason", err).Send()
 	g.output.Close()
 	return err
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -134,19 +134,36 @@
 }
 
 func (d *deployment) start() {
+	d.t.Helper()
+	d.startVM(d.settings)
+}
+
+// another returns the settings of a further VM, which finds the first one by its seed.
+func (d *deployment) another(id string) platform.Settings {
+	s := d.settings
+	s.Self.ID = fleet.VMID(id)
+	s.Self.Address, s.Self.PeerAddress = freeAddress(d.t), freeAddress(d.t)
+	s.ReadyAddress, s.DirectoryAddress = freeAddress(d.t), freeAddress(d.t)
+	s.Seeds = []string{d.settings.Self.PeerAddress}
+	return s
+}
+
+// startVM starts a VM; stop and ended are those of the VM that was started last.
+func (d *deployment) startVM(settings platform.Settings) {
 	d.t.Helper()
 	output := event.NewWriter(d.log)
-	g, err := gateway.New(d.settings, event.New(output, "vm", zerolog.InfoLevel), output)
+	g, err := gateway.New(settings, event.New(output, string(settings.Self.ID), zerolog.InfoLevel), output)
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d.stop, d.ended = cancel, make(chan error, 1)
-	go func() { d.ended <- g.Run(ctx) }()
+	ended := make(chan error, 1)
+	d.stop, d.ended = cancel, ended
+	go func() { ended <- g.Run(ctx) }()
 	d.t.Cleanup(func() {
 		cancel()
 		select {
-		case <-d.ended:
+		case <-ended:
 		case <-time.After(10 * time.Second):
 			d.t.Error("the gateway did not stop")
 		}
@@ -292,6 +309,47 @@
 	}
 }
 
+// TestOneVMReadsTheListForAll: the calls to the store do not grow with the VMs, all of
+// them learn of a change in time, and the others go on when the reader ends.
+func TestOneVMReadsTheListForAll(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	stopFirst := d.stop
+	others := []platform.Settings{d.another("vn"), d.another("vo")}
+	for _, s := range others {
+		d.startVM(s)
+	}
+	knows := func(vm, upstream, reason string) bool {
+		for line := range strings.Lines(d.log.String()) {
+			if strings.Contains(line, `"upstream_changed"`) && strings.Contains(line, `"vm":"`+vm+`"`) &&
+				strings.Contains(line, `"`+upstream+`"`) && strings.Contains(line, reason) {
+				return true
+			}
+		}
+		return false
+	}
+	allKnow := func(upstream, reason string) func() bool {
+		return func() bool { return knows("vn", upstream, reason) && knows("vo", upstream, reason) }
+	}
+	d.eventually("all have the list", allKnow("p1", "listed"))
+	d.eventually("the VMs know each other", func() bool { return strings.Count(d.log.String(), `"member_joined"`) >= 6 })
+	// Three VMs that read each second would make 15 calls in 5 s, one reader makes 5;
+	// the others may miss a listing now and then.
+	time.Sleep(time.Second)
+	before := d.store.Reads("keyed.servers")
+	time.Sleep(5 * time.Second)
+	is.True(d.store.Reads("keyed.servers")-before <= 9)
+
+	entry, _ := json.Marshal(map[string]any{"service": "shop", "address": "127.0.0.1:1", "zone": "a", "slots": 6, "state": "ready", "born": 1000})
+	d.store.Put("keyed.servers", "p7", entry)
+	d.eventually("all learn of a new upstream", allKnow("p7", "listed"))
+	stopFirst()
+	d.store.Put("keyed.servers", "p7", nil)
+	d.eventually("all learn of a removal after the end of the reader", allKnow("p7", "removed"))
+}
+
 // TestLookupsGoToAnotherServer: a request that may be repeated is.
 func TestLookupsGoToAnotherServer(t *testing.T) {
 	is := is.New(t)
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -20,6 +20,9 @@
 	// the interval of renewals.
 	leadTTL   = 3 * time.Second
 	leadRenew = 1 * time.Second
+	// leadCandidates bounds the VMs that stay in the group, so that its calls do not
+	// grow with the fleet; a VM that hears fewer before it by identity is one.
+	leadCandidates = 4
 	// orderTimeout bounds a call to an engine.
 	orderTimeout = 600 * time.Millisecond
 	// orderInterval is the interval at which the leader looks at the engines.
@@ -113,6 +116,17 @@
 	return true
 }
 
+// isCandidate reports whether this VM is to stay in the group of the leader.
+func (c *control) isCandidate(now time.Time) bool {
+	before := 0
+	for id, p := range c.peers {
+		if id < c.g.settings.Self.ID && now.Sub(p.heard) <= peerFresh && !p.Stopping && !p.StoreAway {
+			before++
+		}
+	}
+	return before < leadCandidates
+}
+
 // anotherLeads reports whether a VM that was heard lately gives orders.
 func (c *control) anotherLeads(now time.Time) bool {
 	for _, p := range c.peers {
@@ -140,7 +154,7 @@
 		if v := g.view.Load(); v.catalog == nil || len(v.gates) == 0 {
 			continue
 		}
-		if now := time.Now(); !now.Before(renewAt) {
+		if now := time.Now(); !now.Before(renewAt) && (l.holds || g.candidate.Load()) {
 			renewAt = now.Add(leadRenew)
 			l.renew(ctx, &touched)
 		}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -10,15 +10,11 @@
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/peering"
+	"github.com/cornelline/cornelline/pkg/roster"
 	"github.com/cornelline/cornelline/pkg/wire"
 )
 
 const (
-	// tellInterval is the interval of a VM's news to the others in a fleet of up to
-	// tellFewVMs; it grows with the number of VMs, so that the messages that each
-	// receives in a second stay the same.
-	tellInterval = 250 * time.Millisecond
-	tellFewVMs   = 8
 	// peerStale is the age of news after which a VM's promises no longer count: it
 	// has ended, and its streams with it.
 	peerStale = 3 * time.Second
@@ -41,6 +37,14 @@
 		g.crashes.add(time.Now(), fingerprint(crash.Request), crash.Upstream)
 		return
 	}
+	if listing, ok := m.(*peering.Listing); ok {
+		select {
+		case g.listings <- listing.Listing:
+		default: // a listing that is lost leaves a gap, which is read from the store
+			g.stats.Count("listings_dropped")
+		}
+		return
+	}
 	g.control.post(func(now time.Time) {
 		if state, ok := m.(*peering.State); ok {
 			g.control.heard(now, state)
@@ -169,11 +173,9 @@
 // tellPeers sends this VM's news to the others when it is time.
 func (c *control) tellPeers(now time.Time) {
 	v := c.g.view.Load()
-	interval := tellInterval * time.Duration(max(1, v.vms/tellFewVMs))
-	if now.Sub(c.toldAt) < interval || len(v.peers) == 0 {
+	if len(v.peers) == 0 || !c.news.Due(now, v.vms, random()) {
 		return
 	}
-	c.toldAt = now
 	c.sequence++
 	s := &peering.State{
 		VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence, StoreAway: !c.storeUp, Stopping: c.g.stopper.stopping(),
@@ -207,6 +209,30 @@
 	}
 }
 
+// readsForAll reports whether this VM reads the list of upstreams for the others: it
+// is the first by identity of those that were heard lately and reach the store. Two
+// that do not hear each other may both read, which only costs calls.
+func (c *control) readsForAll(now time.Time) bool {
+	if !c.storeUp || c.g.stopper.stopping() {
+		return false
+	}
+	for id, p := range c.peers {
+		if id < c.g.settings.Self.ID && now.Sub(p.heard) <= peerFresh && !p.StoreAway && !p.Stopping {
+			return false
+		}
+	}
+	return true
+}
+
+// tellListing sends a listing to the other VMs, also an empty one: it says that the
+// list stands.
+func (c *control) tellListing(l roster.Listing) {
+	message := &peering.Listing{VM: c.g.settings.Self.ID, Listing: l}
+	for _, address := range c.g.view.Load().peers {
+		_ = c.g.peers.Send(address, message) // a VM that misses one reads the store
+	}
+}
+
 // fetchConfig asks another VM for its configuration, which is newer.
 func (c *control) fetchConfig(vm fleet.VMID) {
 	if c.fetching {
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/roster"
 )
 
 // Promise is what a VM has promised to one upstream.
@@ -54,6 +55,12 @@
 	Layers fleet.LayerRange
 }
 
+// Listing is what a VM that reads the list of upstreams for the others found.
+type Listing struct {
+	VM fleet.VMID
+	roster.Listing
+}
+
 // ConfigWant asks for the configuration if it is newer than a version.
 type ConfigWant struct{ Version uint64 }
 
--- /dev/null
+++ b/pkg/peering/timer.go
@@ -0,0 +1,36 @@
+package peering
+
+import "time"
+
+const (
+	// newsInterval is the mean interval of a VM's news to the others in a fleet of up
+	// to fewVMs; it grows with the number of VMs, so that the messages that each
+	// receives in a second stay the same.
+	newsInterval = 250 * time.Millisecond
+	fewVMs       = 8
+)
+
+// NewsTimer says when a VM tells the others its news. Invariant: what many VMs learn at
+// the same moment does not bring their news into step. VMs in step would all choose
+// servers by the same old promises until the next round, and all choose the same.
+type NewsTimer struct {
+	next  time.Time
+	extra bool
+}
+
+// TellNow asks for news out of turn, beside the regular ones.
+func (t *NewsTimer) TellNow() { t.extra = true }
+
+// Due reports whether it is time for news in a fleet of vms; random is in [0, 1).
+func (t *NewsTimer) Due(now time.Time, vms int, random float64) bool {
+	regular := !now.Before(t.next)
+	if !regular && !t.extra {
+		return false
+	}
+	if regular {
+		mean := newsInterval * time.Duration(max(1, vms/fewVMs))
+		t.next = now.Add(time.Duration((0.5 + random) * float64(mean)))
+	}
+	t.extra = false
+	return true
+}
--- /dev/null
+++ b/pkg/roster/follower_test.go
@@ -0,0 +1,146 @@
+package roster_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/roster"
+)
+
+// topic is the store's topic of upstreams, with an offset for each record.
+type topic []roster.Entry
+
+// newest returns the newest record of each key.
+func (t topic) newest() []roster.Entry {
+	last := map[fleet.UpstreamID]roster.Entry{}
+	for _, e := range t {
+		last[e.Upstream.ID] = e
+	}
+	var list []roster.Entry
+	for _, e := range last {
+		if !e.Removed {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// read lets a follower read what is new to it.
+func (t topic) read(f *roster.Follower) roster.Listing {
+	if next, whole := f.Next(); !whole {
+		return f.Read(t[next:], uint64(len(t)), false)
+	}
+	return f.Read(t.newest(), uint64(len(t)), true)
+}
+
+// TestOneReaderOfManyVMs: 30 VMs follow the list by the listings of one reader, of
+// which some get lost, the reader changes and the history is forgotten. Each VM ends
+// with the list of the store, and reads the store only after a loss.
+func TestOneReaderOfManyVMs(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var store topic
+		const vms, rounds = 30, 60
+		followers, rosters := make([]*roster.Follower, vms), make([]*roster.Roster, vms)
+		for i := range followers {
+			followers[i], rosters[i] = roster.NewFollower(), roster.New()
+		}
+		now, lost, reads := start, 0, 0
+		take := func(i int, l roster.Listing) {
+			l.SoundFor = roster.ReturnTime
+			rosters[i].Take(now, l, nil)
+		}
+		for range rounds {
+			now = now.Add(time.Second)
+			for range 98 { // each upstream renews its entry; few of them change
+				id := string(rune('A' + random.IntN(98)))
+				u := upstream(id, "address of "+id, 0)
+				u.Draining = random.IntN(200) == 0
+				store = append(store, roster.Entry{Upstream: u, Removed: random.IntN(100) == 0})
+			}
+			reader := random.IntN(2)
+			if random.IntN(20) == 0 {
+				followers[reader].Expired()
+			}
+			begun := followers[reader].Begun()
+			l := store.read(followers[reader])
+			take(reader, l)
+			for i := range followers {
+				switch {
+				case i == reader:
+				case begun && random.IntN(50) > 0 && followers[i].Hear(l):
+					take(i, l)
+				default:
+					lost++
+					reads++
+					take(i, store.read(followers[i]))
+				}
+			}
+		}
+		want := map[fleet.UpstreamID]bool{}
+		for _, e := range store.newest() {
+			want[e.Upstream.ID] = true
+		}
+		for i := range rosters {
+			is.Equal(len(rosters[i].List()), len(want))
+			for _, u := range rosters[i].List() {
+				is.True(want[u.ID])
+			}
+		}
+		is.True(reads < rounds*vms/10)
+	}
+}
+
+// TestListingThatDoesNotJoinUp: a VM that missed a listing must not take the next one
+// for the whole truth.
+func TestListingThatDoesNotJoinUp(t *testing.T) {
+	is := is.New(t)
+	f := roster.NewFollower()
+	is.True(!f.Hear(roster.Listing{From: 0, To: 3})) // nothing was read yet
+	f.Read([]roster.Entry{{Upstream: upstream("a", "1", 0)}}, 5, true)
+	is.True(!f.Hear(roster.Listing{From: 6, To: 8}))
+	is.True(!f.Hear(roster.Listing{From: 0, To: 4})) // older than what is known
+	is.True(f.Hear(roster.Listing{From: 3, To: 8, Removed: []fleet.UpstreamID{"a"}}))
+	next, whole := f.Next()
+	is.Equal(next, uint64(8))
+	is.True(!whole)
+	f.Expired()
+	is.True(!f.Hear(roster.Listing{From: 8, To: 9}))
+}
+
+// TestRenewedEntriesAreNotTold: only what changed goes to the other VMs.
+func TestRenewedEntriesAreNotTold(t *testing.T) {
+	is := is.New(t)
+	f := roster.NewFollower()
+	f.Read([]roster.Entry{{Upstream: upstream("a", "1", 0)}, {Upstream: upstream("b", "2", 0)}}, 2, true)
+	renewed := f.Read([]roster.Entry{{Upstream: upstream("a", "1", 0)}}, 3, false)
+	is.Equal(len(renewed.Changed)+len(renewed.Removed), 0)
+	drains := upstream("a", "1", 0)
+	drains.Draining = true
+	l := f.Read([]roster.Entry{{Upstream: drains}, {Upstream: upstream("b", "2", 0), Removed: true}}, 5, false)
+	is.Equal(l.Changed, []roster.Upstream{drains})
+	is.Equal(l.Removed, []fleet.UpstreamID{"b"})
+	back := f.Read([]roster.Entry{{Upstream: upstream("b", "2", 0)}}, 6, false)
+	is.True(slices.Contains(back.Changed, upstream("b", "2", 0)))
+}
+
+// TestReadersViewOfTheStoreGoesFirst: a VM that the store turns away hears of a removal
+// from one that the store serves, and takes it as one; after an outage of the reader
+// a missing entry may come back.
+func TestReadersViewOfTheStoreGoesFirst(t *testing.T) {
+	is := is.New(t)
+	r := roster.New()
+	r.Put(upstream("a", "1", 0), nil)
+	r.Put(upstream("b", "2", 0), nil)
+	r.StoreFailed(start)
+	is.Equal(len(r.Take(start, roster.Listing{Removed: []fleet.UpstreamID{"a"}, SoundFor: roster.ReturnTime}, nil)), 1)
+	is.Equal(len(r.Take(start, roster.Listing{Removed: []fleet.UpstreamID{"b"}, SoundFor: time.Second}, nil)), 0)
+	is.Equal(ids(r), []fleet.UpstreamID{"b"})
+	is.Equal(len(r.Tick(start.Add(roster.ReturnTime), nil)), 1)
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -77,6 +77,31 @@
 	}
 }
 
+// SoundFor returns how long the store has answered without a failure, at most ReturnTime.
+func (r *Roster) SoundFor(now time.Time) time.Duration {
+	switch {
+	case r.outage:
+		return 0
+	case r.soundSince.IsZero():
+		return ReturnTime
+	}
+	return min(now.Sub(r.soundSince), ReturnTime)
+}
+
+// Take takes in a listing. Its reader's view of the store goes before the own one: it
+// says whether a missing entry means that its upstream is gone.
+func (r *Roster) Take(now time.Time, l Listing, out []Change) []Change {
+	r.outage = false
+	r.soundSince = now.Add(-l.SoundFor)
+	for _, u := range l.Changed {
+		out = r.Put(u, out)
+	}
+	for _, id := range l.Removed {
+		out = r.Remove(now, id, out)
+	}
+	return out
+}
+
 // Put takes in an entry.
 func (r *Roster) Put(u Upstream, out []Change) []Change {
 	old := r.entries[u.ID]
@@ -122,21 +147,6 @@
 	return out
 }
 
-// Replace takes in the whole list: entries that it lacks are removed.
-func (r *Roster) Replace(now time.Time, list []Upstream, out []Change) []Change {
-	listed := make(map[fleet.UpstreamID]bool, len(list))
-	for _, u := range list {
-		listed[u.ID] = true
-		out = r.Put(u, out)
-	}
-	for id := range r.entries {
-		if !listed[id] {
-			out = r.Remove(now, id, out)
-		}
-	}
-	return out
-}
-
 // Tick removes entries that lapsed and did not come back.
 func (r *Roster) Tick(now time.Time, out []Change) []Change {
 	if !r.sound(now) {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -46,7 +46,11 @@
 	r.StoreFailed(start)
 	back := start.Add(5 * time.Second)
 	r.StoreAnswered(back)
-	is.Equal(len(r.Replace(back, nil, nil)), 0) // the list is empty right after the outage
+	f := roster.NewFollower()
+	f.Read([]roster.Entry{{Upstream: upstream("alive", "1", 0)}, {Upstream: upstream("dead", "2", 0)}}, 2, true)
+	empty := f.Read(nil, 4, true) // the list is empty right after the outage
+	empty.SoundFor = r.SoundFor(back)
+	is.Equal(len(r.Take(back, empty, nil)), 0)
 	is.Equal(len(r.List()), 2)
 	r.Put(upstream("alive", "1", 0), nil)
 	is.Equal(len(r.Tick(back.Add(time.Second), nil)), 0)
--- a/pkg/standin/userplatform/store.go
+++ b/pkg/standin/userplatform/store.go
@@ -42,11 +42,13 @@
 	// lose carries out writes without an answer.
 	lose  bool
 	calls int
+	// reads counts the reads of each topic.
+	reads map[string]int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: map[string]*topic{}, groups: map[string]*group{}, change: make(chan struct{})}
+	return &Store{topics: map[string]*topic{}, groups: map[string]*group{}, reads: map[string]int{}, change: make(chan struct{})}
 }
 
 // SetDown switches the answers off or on.
@@ -70,6 +72,13 @@
 	return s.calls
 }
 
+// Reads returns the number of reads of a topic so far.
+func (s *Store) Reads(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[name]
+}
+
 // Put writes a record as the operator or a server does; a nil value drops the key.
 func (s *Store) Put(name, key string, value []byte) {
 	s.mu.Lock()
@@ -118,6 +127,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
+	if r.Method == http.MethodGet {
+		s.reads[r.URL.Query().Get("topic")]++
+	}
 	down := s.down
 	s.mu.Unlock()
 	if down {
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -43,6 +43,7 @@
 	KindConfigWant
 	KindConfigOffer
 	KindCrash
+	KindListing
 )
 
 // Message is one of the typed messages below, as a pointer.
@@ -80,6 +81,7 @@
 	KindConfigWant:   reflect.TypeFor[peering.ConfigWant](),
 	KindConfigOffer:  reflect.TypeFor[peering.ConfigOffer](),
 	KindCrash:        reflect.TypeFor[peering.Crash](),
+	KindListing:      reflect.TypeFor[peering.Listing](),
 }
 
 var messageKinds = invert(messageTypes)
