--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -3,15 +3,15 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cornelline/cornelline/pkg/standin/userplatform"
 )
 
 const (
@@ -82,7 +82,7 @@
 func (c *caller) ask(ctx context.Context, v *VM) []string {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Directory+"/v1/resolution?name=h.example&region=r&zone=a", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, userplatform.DirectoryURL(v.Directory), nil)
 	if err != nil {
 		return nil
 	}
@@ -91,11 +91,10 @@
 		return nil
 	}
 	defer resp.Body.Close()
-	var answer struct{ Addresses []string }
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil {
+	if resp.StatusCode != http.StatusOK {
 		return nil
 	}
-	return answer.Addresses
+	return userplatform.DecodeAddresses(resp.Body)
 }
 
 // answer is what a caller got.
@@ -154,13 +153,7 @@
 		return
 	}
 	r.GetBody = nil // the client must not send a request again by itself
-	r.Host = "h.example"
-	r.Header.Set("Request-Id", a.id)
-	r.Header.Set("Deadline-Milliseconds", strconv.FormatInt(limit.Milliseconds(), 10))
-	r.Header.Set("Authorization", "Bearer "+key)
-	if a.first > 0 {
-		r.Header.Set("Last-Event-Id", strconv.Itoa(a.first))
-	}
+	userplatform.CallerRequest{ID: a.id, Key: key, Deadline: limit, LastEvent: a.first}.Sign(r)
 	a.sent = time.Now()
 	resp, err := c.client.Do(r)
 	if err == nil {
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cornelline/cornelline/pkg/standin/userplatform"
 )
 
 const (
@@ -77,8 +79,8 @@
 	case promisesNotRun(a.status) && a.header.Get("Retry-After") == "":
 		c.w.violate(fmt.Sprintf("%s got %d without a time to come back", a.id, a.status))
 	}
-	if ok && !strings.HasSuffix(a.header.Get("Response-Signature"), "."+a.id) {
-		c.w.violate(fmt.Sprintf("%s got a success that is not its own: signature %q", a.id, a.header.Get("Response-Signature")))
+	if ok && !userplatform.SignedFor(a.header, a.id) {
+		c.w.violate(fmt.Sprintf("%s got a success that is not its own: %v", a.id, a.header))
 	}
 	if calm && a.vm.CalmSince(a.sent) && a.took > limit+late {
 		c.w.violate(fmt.Sprintf("%s had no end after %v, its limit is %v", a.id, a.took, limit))
