--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -5,7 +5,6 @@
 
 import (
 	"io"
-	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -21,8 +20,8 @@
 
 // Logger writes numbered events. The lines of each event are bounded in rate.
 type Logger struct {
-	z     zerolog.Logger
-	limit *limiter
+	z      zerolog.Logger
+	limits map[ID]*lineLimit // immutable
 }
 
 // timeFormat has milliseconds: decisions about a request follow each other within a second.
@@ -34,8 +33,8 @@
 // New returns a Logger that writes JSON lines to w, each naming the VM.
 func New(w io.Writer, vm string, level zerolog.Level) *Logger {
 	return &Logger{
-		z:     zerolog.New(w).Level(level).With().Timestamp().Str("vm", vm).Logger(),
-		limit: &limiter{now: time.Now, buckets: make(map[ID]*lineBucket)},
+		z:      zerolog.New(w).Level(level).With().Timestamp().Str("vm", vm).Logger(),
+		limits: newLimits(),
 	}
 }
 
@@ -46,7 +45,7 @@
 // line above the event's rate is nil, which takes fields and writes nothing.
 func (l *Logger) Log(id ID) *zerolog.Event {
 	d := definitions[id]
-	if d.level < l.z.GetLevel() || l.limit != nil && !l.limit.allow(id) {
+	if d.level < l.z.GetLevel() || !l.limits[id].allow() {
 		return nil
 	}
 	return l.z.WithLevel(d.level).Int("event", int(id)).Str("name", d.name)
@@ -55,10 +54,11 @@
 // Suppressed writes how many lines of each event were held back since the last call.
 // The process calls it now and then, and before it ends.
 func (l *Logger) Suppressed() {
-	if l.limit == nil {
-		return
-	}
-	for id, lines := range l.limit.suppressed() {
+	for id, limit := range l.limits {
+		lines := limit.held.Swap(0)
+		if lines == 0 {
+			continue
+		}
 		l.z.WithLevel(definitions[LinesSuppressed].level).Int("event", int(LinesSuppressed)).Str("name", LinesSuppressed.Name()).
 			Int("of", int(id)).Str("of_name", id.Name()).Uint64("lines", lines).Send()
 	}
--- a/pkg/event/limit.go
+++ b/pkg/event/limit.go
@@ -1,8 +1,9 @@
 package event
 
 import (
-	"sync"
-	"time"
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -13,53 +14,25 @@
 	lineBurst      = 600
 )
 
-// limiter bounds the lines of each event and counts those that were held back.
-type limiter struct {
-	mu      sync.Mutex
-	now     func() time.Time
-	buckets map[ID]*lineBucket
-}
-
-type lineBucket struct {
-	lines      float64
-	at         time.Time
-	suppressed uint64
+// lineLimit bounds the lines of one event and counts those that were held back.
+type lineLimit struct {
+	rate *rate.Limiter
+	held atomic.Uint64
 }
 
-// allow takes a line of an event and reports whether it may be written.
-func (l *limiter) allow(id ID) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.now()
-	b := l.buckets[id]
-	if b == nil {
-		b = &lineBucket{lines: lineBurst, at: now}
-		l.buckets[id] = b
-	}
-	b.lines = min(b.lines+max(0, now.Sub(b.at).Seconds())*linesPerSecond, lineBurst)
-	b.at = now
-	if b.lines < 1 {
-		b.suppressed++
-		return false
+func newLimits() map[ID]*lineLimit {
+	limits := make(map[ID]*lineLimit, len(definitions))
+	for id := range definitions {
+		limits[id] = &lineLimit{rate: rate.NewLimiter(linesPerSecond, lineBurst)}
 	}
-	b.lines--
-	return true
+	return limits
 }
 
-// suppressed returns the lines held back since the last call, by event.
-func (l *limiter) suppressed() map[ID]uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var held map[ID]uint64
-	for id, b := range l.buckets {
-		if b.suppressed == 0 {
-			continue
-		}
-		if held == nil {
-			held = make(map[ID]uint64)
-		}
-		held[id] = b.suppressed
-		b.suppressed = 0
+// allow takes a line and reports whether it may be written; nil bounds nothing.
+func (l *lineLimit) allow() bool {
+	if l == nil || l.rate.Allow() {
+		return true
 	}
-	return held
+	l.held.Add(1)
+	return false
 }
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -24,10 +24,12 @@
 	r      *http.Request
 	caller platform.Caller
 	body   []byte
-	route  *catalog.Route
-	team   fleet.TeamID
-	rank   int
-	view   *view
+	// print is the request's fingerprint, known once the body was read.
+	print fingerprint
+	route *catalog.Route
+	team  fleet.TeamID
+	rank  int
+	view  *view
 	// arrived is when the request's head was read, due when its answer is due.
 	arrived time.Time
 	due     time.Time
@@ -62,7 +64,8 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.due, errDue)
 	defer cancel()
 	c.ctx = ctx
-	if g.crashes.suspected(c.arrived, c.fingerprint()) {
+	c.print = c.fingerprint()
+	if g.crashes.suspected(c.arrived, c.print) {
 		c.refuse(result.Quarantined, crashRetryAfter)
 		return
 	}
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -95,11 +95,9 @@
 // crashed notes that an upstream broke off while it ran the request, and tells the
 // other VMs, because the caller may send it again through any of them.
 func (c *call) crashed(up fleet.UpstreamID) {
-	f := c.fingerprint()
+	f := c.print
 	if n := c.g.crashes.add(time.Now(), f, up); n > 1 {
 		c.line(event.RequestSuspected).Str("upstream", string(up)).Int("crashes", n).Send()
 	}
-	for _, address := range c.g.view.Load().peers {
-		_ = c.g.peers.Send(address, &peering.Crash{Request: uint64(f), Upstream: up}) // a lost message delays the refusal by one crash
-	}
+	c.g.tell(&peering.Crash{Request: uint64(f), Upstream: up}) // a lost message delays the refusal by one crash
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -113,8 +113,6 @@
 	moves   *retry.Budget
 	// retryHolders are the VMs that share them.
 	retryHolders retry.Holders
-	// retriesFull is set once the process is old enough for its part of the slack.
-	retriesFull bool
 
 	front, directory, ready, metrics *khttp.Server
 	running                          context.Context
@@ -267,11 +265,6 @@
 	vms := g.retryHolders.Seen(now, g.view.Load().vms)
 	g.retries.SetConfig(g.retryLimits(vms, 1-moveShare))
 	g.moves.SetConfig(g.retryLimits(vms, moveShare))
-	if !g.retriesFull && !g.settings.FirstStart && now.Sub(g.started) >= g.bounds.Load().RetryWindow {
-		g.retriesFull = true
-		g.retries.Refill()
-		g.moves.Refill()
-	}
 }
 
 // moveShare is the part of the retry budget for runs that leave a server.
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -76,7 +76,7 @@
 	g.request = dispatch.Request{
 		ID: c.caller.ID, Team: c.team, Rank: c.rank, Objective: c.route.Objective, Patience: min(c.patience()-patienceMargin, c.left()),
 		Need:  chain.Need{Prompt: c.promptTokens(service), Answer: c.answerTokens(service), Gap: c.route.GapObjective},
-		Begun: c.caller.LastEvent != "", Returned: c.g.returns.take(c.arrived, c.fingerprint()),
+		Begun: c.caller.LastEvent != "", Returned: c.g.returns.take(c.arrived, c.print),
 	}
 	action, err := gate.enter(c.ctx, g.request)
 	if err != nil {
@@ -142,8 +142,13 @@
 	g.line(event.RequestQueued).Str("outcome", "refused").Str("reason", a.Why.String()).Int("ahead", a.Ahead).
 		Bool("returned", g.request.Returned).
 		Int64("waited_ms", a.Waited.Milliseconds()).Int64("retry_after_ms", a.RetryAfter.Milliseconds()).Send()
-	g.g.returns.add(time.Now(), g.fingerprint(), true)
-	g.refuse(code, a.RetryAfter)
+	g.turnAway(code, a.RetryAfter)
+}
+
+// turnAway refuses a generation and remembers that its caller may come back.
+func (g *generation) turnAway(code result.Code, after time.Duration) {
+	g.g.returns.add(time.Now(), g.print, true)
+	g.refuse(code, after)
 }
 
 // serve runs the generation on a chain, and on further ones if it fails.
@@ -208,8 +213,7 @@
 	case g.begun:
 		g.broken(result.StreamBroken, why)
 	case g.runs == 0 && got == notRun:
-		g.g.returns.add(time.Now(), g.fingerprint(), true)
-		g.refuse(result.NoUpstream, spread(time.Second))
+		g.turnAway(result.NoUpstream, spread(time.Second))
 	default:
 		g.fail(result.New(result.UpstreamUnknown, result.OutcomeUnknown, "no chain finished the request").WithCause(why))
 	}
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -117,15 +117,7 @@
 }
 
 // isCandidate reports whether this VM is to stay in the group of the leader.
-func (c *control) isCandidate(now time.Time) bool {
-	before := 0
-	for id, p := range c.peers {
-		if id < c.g.settings.Self.ID && now.Sub(p.heard) <= peerFresh && !p.Stopping && !p.StoreAway {
-			before++
-		}
-	}
-	return before < leadCandidates
-}
+func (c *control) isCandidate(now time.Time) bool { return c.peersBefore(now) < leadCandidates }
 
 // anotherLeads reports whether a VM that was heard lately gives orders.
 func (c *control) anotherLeads(now time.Time) bool {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -209,32 +209,39 @@
 			s.Slow[id] = float32(factor)
 		}
 	}
-	for _, address := range v.peers {
-		_ = c.g.peers.Send(address, s) // the next news replaces what is lost
-	}
+	c.g.tell(s) // the next news replaces what is lost
 }
 
 // readsForAll reports whether this VM reads the list of upstreams for the others: it
 // is the first by identity of those that were heard lately and reach the store. Two
 // that do not hear each other may both read, which only costs calls.
 func (c *control) readsForAll(now time.Time) bool {
-	if !c.storeUp || c.g.stopper.stopping() {
-		return false
-	}
+	return c.storeUp && !c.g.stopper.stopping() && c.peersBefore(now) == 0
+}
+
+// peersBefore counts the VMs before this one by identity that were heard lately, stay
+// and reach the store.
+func (c *control) peersBefore(now time.Time) int {
+	before := 0
 	for id, p := range c.peers {
 		if id < c.g.settings.Self.ID && now.Sub(p.heard) <= peerFresh && !p.StoreAway && !p.Stopping {
-			return false
+			before++
 		}
 	}
-	return true
+	return before
 }
 
 // tellListing sends a listing to the other VMs, also an empty one: it says that the
 // list stands.
 func (c *control) tellListing(l roster.Listing) {
-	message := &peering.Listing{VM: c.g.settings.Self.ID, Listing: l}
-	for _, address := range c.g.view.Load().peers {
-		_ = c.g.peers.Send(address, message) // a VM that misses one reads the store
+	c.g.tell(&peering.Listing{VM: c.g.settings.Self.ID, Listing: l}) // a VM that misses one reads the store
+}
+
+// tell sends a message to all other VMs. One that is lost is made up for by a later
+// one or by another source.
+func (g *Gateway) tell(m wire.Message) {
+	for _, address := range g.view.Load().peers {
+		_ = g.peers.Send(address, m)
 	}
 }
 
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -48,16 +48,19 @@
 	return &Budget{cfg: cfg, teams: make(map[fleet.TeamID]*bucket), upstreams: make(map[fleet.UpstreamID]*bucket)}
 }
 
-// SetConfig replaces the limits and keeps what is saved.
-func (b *Budget) SetConfig(cfg Config) { b.cfg = cfg }
-
-// Refill fills all buckets.
-func (b *Budget) Refill() {
+// SetConfig replaces the limits and keeps what is saved. Budgets that began empty are
+// full from the configuration on that no longer says so.
+func (b *Budget) SetConfig(cfg Config) {
+	full := b.cfg.Empty && !cfg.Empty
+	b.cfg = cfg
+	if !full {
+		return
+	}
 	for _, k := range b.teams {
-		k.tokens = b.cfg.Burst
+		k.tokens = cfg.Burst
 	}
 	for _, k := range b.upstreams {
-		k.tokens = b.cfg.Burst
+		k.tokens = cfg.Burst
 	}
 }
 
--- a/pkg/retry/shared_test.go
+++ b/pkg/retry/shared_test.go
@@ -14,7 +14,6 @@
 	budget  *retry.Budget
 	holders retry.Holders
 	started time.Time
-	full    bool
 }
 
 func startVM(shared retry.Shared, now time.Time) *fleetVM {
@@ -24,10 +23,6 @@
 // step books requests and takes all repeats that the budget allows.
 func (v *fleetVM) step(shared retry.Shared, now time.Time, known, requests int) (repeats int) {
 	v.budget.SetConfig(shared.Part(v.holders.Seen(now, known), now.Sub(v.started), 1))
-	if !v.full && now.Sub(v.started) >= shared.Window {
-		v.full = true
-		v.budget.Refill()
-	}
 	for range requests {
 		v.budget.Success(now, "s", "s")
 	}
