The soak and the gateway's tests share the stand-ins' configuration, entries and events

Cause: the operator's configuration, a plain server's entry, the events of a stream and the body of a plain answer were spelled in the soak, in the gateway's tests and in the stand-ins; the soak's command searched the printed history for the first violation, which the run itself knows. Ruled out: sharing the list of statuses that promise "not run" with the gateway: the soak checks the gateway and must not take its word. A violation now prints the 40 moments up to it.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -118,14 +118,7 @@
 		return false, os.RemoveAll(dir)
 	}
 	fmt.Printf("seed %d: BROKEN %d times, first: %s\nlogs and settings: %s\n", seed, len(result.Violations), result.Violations[0], dir)
-	first := 0
-	for i, line := range result.History {
-		if len(line) > 11 && line[11:] == "BROKEN "+result.Violations[0] {
-			first = i
-			break
-		}
-	}
-	for _, line := range result.History[max(0, first-30):min(len(result.History), first+3)] {
+	for _, line := range result.Moments {
 		fmt.Println("  ", line)
 	}
 	return true, nil
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelline/cornelline/pkg/standin/userplatform"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -65,8 +65,8 @@
 	time.Sleep(5 * time.Second)
 	is.True(d.store.Reads("keyed.servers")-before <= 9)
 
-	entry, _ := json.Marshal(map[string]any{"service": "shop", "address": "127.0.0.1:1", "zone": "a", "slots": 6, "state": "ready", "born": 1000})
-	d.store.Put("keyed.servers", "p7", entry)
+	p7 := &userplatform.Plain{ID: "p7"}
+	d.store.Put("keyed.servers", p7.ID, p7.Entry("127.0.0.1:1", "ready", 6, 1000))
 	d.eventually("all learn of a new upstream", allKnow("p7", "listed"))
 	stopFirst()
 	d.store.Put("keyed.servers", "p7", nil)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -68,25 +68,7 @@
 
 // config is the operator's configuration with a version and a time-out.
 func config(version int, timeoutMS int, keys ...string) []byte {
-	data, _ := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			{"name": "gen", "host": "h.example", "path_prefix": "/gen/", "kind": "streaming", "timeout_ms": 20000, "response_target_ms": 500, "gap_target_ms": 200, "service": "model", "attempts": 2, "resumable": true},
-			{"name": "book", "host": "h.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": timeoutMS, "service": "shop", "attempts": 1},
-			{"name": "look", "host": "h.example", "path_prefix": "/look/", "kind": "idempotent", "timeout_ms": timeoutMS, "service": "shop", "attempts": 2},
-		},
-		"services": []map[string]any{
-			{"name": "model", "engine": map[string]any{
-				"slots": 192, "kv_token_bytes": 1000, "stride": 1, "models": []map[string]any{{"name": "m", "load_s": 0.1}}, "step_ms": 0.1, "read_per_s": 1e6,
-				"layers": 8, "layer_mb": 100, "activation_bytes": 1000, "pipe_mbps": 10000, "loads_at_once": 6, "usual": map[string]any{"prompt": 100, "answer": 20},
-				"kinds": []map[string]any{{"name": "card", "megabytes": 500, "pace": 1, "read_factor": 1}},
-			}},
-			{"name": "shop", "health_path": "/health"},
-		},
-		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 1000, "header_ms": 3000, "idle_ms": 15000},
-		"tenants": []map[string]any{{"name": "team", "keys": keys}},
-	})
-	return data
+	return userplatform.Operator{Version: version, Timeout: time.Duration(timeoutMS) * time.Millisecond, StreamAttempts: 2, Keys: keys}.Config()
 }
 
 func deploy(t *testing.T) *deployment {
@@ -101,10 +83,7 @@
 		s := httptest.NewServer(p)
 		t.Cleanup(s.Close)
 		d.plain = append(d.plain, p)
-		entry, _ := json.Marshal(map[string]any{
-			"service": "shop", "address": s.Listener.Addr().String(), "zone": "a", "slots": 6, "state": "ready", "born": 1000,
-		})
-		d.store.Put("keyed.servers", p.ID, entry)
+		d.store.Put("keyed.servers", p.ID, p.Entry(s.Listener.Addr().String(), "ready", 6, 1000))
 	}
 	for i := range 6 {
 		d.addEngine(fmt.Sprintf("e%d", i))
@@ -217,11 +196,7 @@
 // checkStream fails unless a body holds the events from first to last once and in order.
 func checkStream(t *testing.T, body string, first, last int) {
 	t.Helper()
-	var want strings.Builder
-	for n := first; n <= last; n++ {
-		fmt.Fprintf(&want, "id: %d\ndata: token %d\n\n", n, n)
-	}
-	if body != want.String() {
+	if body != userplatform.Stream(first, last) {
 		t.Errorf("events %d to %d are not whole, once and in order: %q", first, last, body)
 	}
 }
--- a/pkg/soak/caller.go
+++ b/pkg/soak/caller.go
@@ -142,7 +142,7 @@
 		body = ""
 	}
 	path := "/" + a.kind + "/x%2f?q=" + a.id
-	a.want = fmt.Sprintf("%s %s team=team body=%s", method, path, body)
+	a.want = userplatform.PlainBody(method, path, "team", body)
 	ctx, cancel := context.WithTimeout(ctx, limit+2*time.Second)
 	defer cancel()
 	if c.random.IntN(25) == 0 { // some callers leave
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -106,14 +106,11 @@
 // stream checks that events come once and in order, and that an answer which looks
 // whole has all of them.
 func (c *checker) stream(a *answer) {
-	var want strings.Builder
-	for n := a.first + 1; n <= events; n++ {
-		fmt.Fprintf(&want, "id: %d\ndata: token %d\n\n", n, n)
-	}
+	want := userplatform.Stream(a.first+1, events)
 	switch {
-	case a.whole && string(a.body) != want.String():
+	case a.whole && string(a.body) != want:
 		c.w.violate(fmt.Sprintf("stream %s after event %d looks whole and is not: %q", a.id, a.first, a.body))
-	case !strings.HasPrefix(want.String(), string(a.body)):
+	case !strings.HasPrefix(want, string(a.body)):
 		c.w.violate(fmt.Sprintf("stream %s after event %d has other bytes than its events in order: %q", a.id, a.first, a.body))
 	}
 }
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -177,11 +177,11 @@
 	if !w.checker.drains(p.ID) {
 		return "no drain: " + p.ID + " drains already", nil
 	}
-	w.listPlain(p.ID, p.link.Address(), "draining", p.born)
+	w.list(p, "draining")
 	return drainName + p.ID, func() {
 		w.checker.returns(p.ID)
 		w.store.Put("keyed.servers", p.ID, nil)
 		p.born = time.Now().UnixMilli()
-		w.listPlain(p.ID, p.link.Address(), "ready", p.born)
+		w.list(p, "ready")
 	}
 }
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -37,6 +36,8 @@
 
 const (
 	plainServers = 3
+	plainSlots   = 50
+	plainTimeout = 2 * time.Second
 	events       = 30
 	// eventPause makes a generation last 0.6 s.
 	eventPause = 20 * time.Millisecond
@@ -44,8 +45,8 @@
 	// faults at the end, in which service must return (recovery_s of the platform).
 	settle = 6 * time.Second
 	calm   = 12 * time.Second
-	// historyKept is the number of moments printed with a violation.
-	historyKept = 40
+	// momentsKept is the number of moments before a violation that are printed with it.
+	momentsKept = 40
 )
 
 // World is one run.
@@ -62,8 +63,10 @@
 
 	mu      sync.Mutex
 	history []string
-	// violations are the broken promises, the first one first.
+	// violations are the broken promises, the first one first; moments are those before
+	// the first, and it.
 	violations []string
+	moments    []string
 	version    int
 	keys       []string
 	changedAt  time.Time
@@ -84,8 +87,10 @@
 // Result is the outcome of a run.
 type Result struct {
 	Violations []string
-	History    []string
-	Counts     map[string]int
+	// Moments are the moments around the first violation, History those of the run.
+	Moments []string
+	History []string
+	Counts  map[string]int
 }
 
 // Play plays one run.
@@ -125,7 +130,7 @@
 	w.checker.finish()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return Result{Violations: w.violations, History: w.history, Counts: w.checker.counts}, nil
+	return Result{Violations: w.violations, Moments: w.moments, History: w.history, Counts: w.checker.counts}, nil
 }
 
 func (w *World) sleep(ctx context.Context, d time.Duration) {
@@ -148,7 +153,7 @@
 		server := &plainServer{Plain: p, link: link, born: w.began.UnixMilli()}
 		p.Arrived = func(string) { w.checker.arrived(p.ID) }
 		w.plain = append(w.plain, server)
-		w.listPlain(p.ID, link.Address(), "ready", server.born)
+		w.list(server, "ready")
 	}
 	byAddress := map[string]*userplatform.Engine{}
 	for i := range w.options.Engines {
@@ -197,34 +202,14 @@
 	return NewLink(s.Listener.Addr().String())
 }
 
-func (w *World) listPlain(id, address, state string, born int64) {
-	entry, _ := json.Marshal(map[string]any{
-		"service": "shop", "address": address, "zone": "a", "slots": 50, "state": state, "born": born,
-	})
-	w.store.Put("keyed.servers", id, entry)
+// list writes a plain server's entry.
+func (w *World) list(p *plainServer, state string) {
+	w.store.Put("keyed.servers", p.ID, p.Entry(p.link.Address(), state, plainSlots, p.born))
 }
 
 // config returns the operator's configuration; callers hold the lock or run alone.
 func (w *World) config() []byte {
-	data, _ := json.Marshal(map[string]any{
-		"version": w.version,
-		"routes": []map[string]any{
-			{"name": "gen", "host": "h.example", "path_prefix": "/gen/", "kind": "streaming", "timeout_ms": 20000, "response_target_ms": 500, "gap_target_ms": 200, "service": "model", "attempts": 3, "resumable": true},
-			{"name": "book", "host": "h.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 2000, "service": "shop", "attempts": 1},
-			{"name": "look", "host": "h.example", "path_prefix": "/look/", "kind": "idempotent", "timeout_ms": 2000, "service": "shop", "attempts": 2},
-		},
-		"services": []map[string]any{
-			{"name": "model", "engine": map[string]any{
-				"slots": 192, "kv_token_bytes": 1000, "stride": 1, "models": []map[string]any{{"name": "m", "load_s": 0.1}}, "step_ms": 0.1, "read_per_s": 1e6,
-				"layers": 8, "layer_mb": 100, "activation_bytes": 1000, "pipe_mbps": 10000, "loads_at_once": 6, "usual": map[string]any{"prompt": 100, "answer": 20},
-				"kinds": []map[string]any{{"name": "card", "megabytes": 500, "pace": 1, "read_factor": 1}},
-			}},
-			{"name": "shop", "health_path": "/health"},
-		},
-		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 1000, "header_ms": 3000, "idle_ms": 15000},
-		"tenants": []map[string]any{{"name": "team", "keys": slices.Clone(w.keys)}},
-	})
-	return data
+	return userplatform.Operator{Version: w.version, Timeout: plainTimeout, StreamAttempts: 3, Keys: w.keys}.Config()
 }
 
 // note keeps a moment for the story of a violation.
@@ -240,8 +225,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.violations) == 0 {
-		recent := w.history[max(0, len(w.history)-historyKept):]
-		_ = os.WriteFile(filepath.Join(w.options.Dir, "violation.txt"), []byte(strings.Join(recent, "\n")+"\n"), 0o600) // also printed at the end
+		w.moments = slices.Clone(w.history[max(0, len(w.history)-momentsKept):])
+		_ = os.WriteFile(filepath.Join(w.options.Dir, "violation.txt"), []byte(strings.Join(w.moments, "\n")+"\n"), 0o600) // also printed at the end
 	}
 	w.violations = append(w.violations, what)
 }
--- /dev/null
+++ b/pkg/standin/userplatform/operator.go
@@ -0,0 +1,61 @@
+package userplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Operator is what differs between the configurations of tests; the rest is fixed: a
+// model of 8 layers behind /gen/, and a shop behind /book/ (once) and /look/ (may be
+// repeated).
+type Operator struct {
+	Version int
+	// Timeout is that of the shop's routes.
+	Timeout time.Duration
+	// StreamAttempts is the number of servers that may run a generation.
+	StreamAttempts int
+	Keys           []string
+}
+
+// Config returns the operator's configuration.
+func (o Operator) Config() []byte {
+	timeout := o.Timeout.Milliseconds()
+	data, _ := json.Marshal(map[string]any{
+		"version": o.Version,
+		"routes": []map[string]any{
+			{"name": "gen", "host": "h.example", "path_prefix": "/gen/", "kind": "streaming", "timeout_ms": 20000, "response_target_ms": 500, "gap_target_ms": 200, "service": "model", "attempts": o.StreamAttempts, "resumable": true},
+			{"name": "book", "host": "h.example", "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": timeout, "service": "shop", "attempts": 1},
+			{"name": "look", "host": "h.example", "path_prefix": "/look/", "kind": "idempotent", "timeout_ms": timeout, "service": "shop", "attempts": 2},
+		},
+		"services": []map[string]any{
+			{"name": "model", "engine": map[string]any{
+				"slots": 192, "kv_token_bytes": 1000, "stride": 1, "models": []map[string]any{{"name": "m", "load_s": 0.1}}, "step_ms": 0.1, "read_per_s": 1e6,
+				"layers": testLayers, "layer_mb": 100, "activation_bytes": 1000, "pipe_mbps": 10000, "loads_at_once": 6, "usual": map[string]any{"prompt": 100, "answer": 20},
+				"kinds": []map[string]any{{"name": "card", "megabytes": 500, "pace": 1, "read_factor": 1}},
+			}},
+			{"name": "shop", "health_path": "/health"},
+		},
+		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 1000, "header_ms": 3000, "idle_ms": 15000},
+		"tenants": []map[string]any{{"name": "team", "keys": o.Keys}},
+	})
+	return data
+}
+
+// event returns an event of a stream.
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
+
+// Stream returns the events of a stream from the first to the last.
+func Stream(first, last int) string {
+	var all strings.Builder
+	for n := first; n <= last; n++ {
+		all.WriteString(event(n))
+	}
+	return all.String()
+}
+
+// PlainBody returns what a plain server answers to a request.
+func PlainBody(method, target, team, body string) string {
+	return fmt.Sprintf("%s %s team=%s body=%s", method, target, team, body)
+}
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -46,6 +46,15 @@
 	fault string
 }
 
+// Entry returns the server's entry in the store; born is the time of its start in
+// milliseconds.
+func (p *Plain) Entry(address, state string, slots int, born int64) []byte {
+	data, _ := json.Marshal(map[string]any{
+		"service": "shop", "address": address, "zone": "a", "slots": slots, "state": state, "born": born,
+	})
+	return data
+}
+
 // SetFault sets how requests end.
 func (p *Plain) SetFault(fault string) {
 	p.mu.Lock()
@@ -87,7 +96,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	body, _ := io.ReadAll(r.Body)
-	text := fmt.Sprintf("%s %s team=%s body=%s", r.Method, r.RequestURI, r.Header.Get("Tenant"), body)
+	text := PlainBody(r.Method, r.RequestURI, r.Header.Get("Tenant"), string(body))
 	if fault == "extra" {
 		p.answerTwice(w, id, text)
 		return
@@ -297,7 +306,7 @@
 			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n)
+		_, _ = io.WriteString(w, event(n)) // a caller that left reads nothing
 		w.(http.Flusher).Flush()
 		select {
 		case <-time.After(e.Pause):
