--- a/pkg/eventstream/eventstream.go
+++ b/pkg/eventstream/eventstream.go
@@ -4,9 +4,17 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
+// ErrTooLarge: an event did not end within MaxEventBytes.
+var ErrTooLarge = errors.New("event of the stream is too large")
+
+// MaxEventBytes bounds an event, which on the platform is some hundred bytes. What a
+// stream holds back until an event ends is no more than this and one read.
+const MaxEventBytes = 256 << 10
+
 // Splitter collects the bytes of one stream. The zero value is ready for use.
 type Splitter struct {
 	buffer []byte
@@ -30,9 +38,10 @@
 func (s *Splitter) Restart() { s.buffer = s.buffer[:0] }
 
 // Feed takes in bytes and returns those of the events that are whole now, with
-// their number. Events that were passed on before are left out. The result is
-// valid until the next call.
-func (s *Splitter) Feed(p []byte) (whole []byte, events int) {
+// their number. Events that were passed on before are left out. Blocks of comments
+// are passed on and not counted: a chain that sends only those makes no progress. The
+// result is valid until the next call.
+func (s *Splitter) Feed(p []byte) (whole []byte, events int, err error) {
 	s.buffer = append(s.buffer, p...)
 	rest := s.buffer
 	var out []byte
@@ -54,12 +63,27 @@
 			s.seen = true
 		}
 		out = append(out, event...)
-		events++
+		if carriesData(event) {
+			events++
+		}
 	}
 	if len(rest) != len(s.buffer) {
 		s.buffer = append(s.buffer[:0], rest...)
 	}
-	return out, events
+	if len(s.buffer) > MaxEventBytes {
+		return out, events, ErrTooLarge
+	}
+	return out, events, nil
+}
+
+// carriesData reports whether a block has a line other than comments.
+func carriesData(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
 }
 
 // Continue notes the last event that the caller already has.
--- a/pkg/eventstream/eventstream_test.go
+++ b/pkg/eventstream/eventstream_test.go
@@ -1,6 +1,8 @@
 package eventstream_test
 
 import (
+	"errors"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -15,9 +17,11 @@
 	const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nversions: 3\nid: 3\ndata: c\n\n"
 	for cut := range len(stream) {
 		var s eventstream.Splitter
-		first, _ := s.Feed([]byte(stream[:cut]))
+		first, _, err := s.Feed([]byte(stream[:cut]))
+		is.NoErr(err)
 		out := string(first)
-		rest, _ := s.Feed([]byte(stream[cut:]))
+		rest, _, err := s.Feed([]byte(stream[cut:]))
+		is.NoErr(err)
 		out += string(rest)
 		is.Equal(out, stream)
 		is.Equal(s.LastID(), "3")
@@ -30,13 +34,15 @@
 func TestAnotherRunContinues(t *testing.T) {
 	is := is.New(t)
 	var s eventstream.Splitter
-	whole, n := s.Feed([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"))
+	whole, n, err := s.Feed([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"))
+	is.NoErr(err)
 	is.Equal(n, 2)
 	is.Equal(string(whole), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	is.True(s.Partial())
 	s.Restart()
 	is.Equal(s.LastID(), "2")
-	whole, n = s.Feed([]byte("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"))
+	whole, n, err = s.Feed([]byte("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"))
+	is.NoErr(err)
 	is.Equal(n, 1)
 	is.Equal(string(whole), "id: 3\ndata: c\n\n")
 }
@@ -46,7 +52,43 @@
 	is := is.New(t)
 	var s eventstream.Splitter
 	s.Continue("7")
-	whole, n := s.Feed([]byte("id: 7\ndata: x\r\n\r\nid: 8\ndata: y\r\n\r\n"))
+	whole, n, err := s.Feed([]byte("id: 7\ndata: x\r\n\r\nid: 8\ndata: y\r\n\r\n"))
+	is.NoErr(err)
 	is.Equal(n, 1)
 	is.Equal(string(whole), "id: 8\ndata: y\r\n\r\n")
 }
+
+// TestCommentsAreNoProgress: a stalled server that sends a comment, a part of one or an
+// empty line now and then is passed on, but counts no event.
+func TestCommentsAreNoProgress(t *testing.T) {
+	is := is.New(t)
+	var s eventstream.Splitter
+	for _, piece := range []string{": still here\n\n", "\n", ":", "\n\n", "\r\n\r\n"} {
+		whole, n, err := s.Feed([]byte(piece))
+		is.NoErr(err)
+		is.Equal(n, 0)
+		_ = whole
+	}
+	whole, n, err := s.Feed([]byte(": next\nid: 1\ndata: a\n\n"))
+	is.NoErr(err)
+	is.Equal(n, 1)
+	is.Equal(string(whole), ": next\nid: 1\ndata: a\n\n")
+}
+
+// TestEventWithoutEnd: what is held back of an event that never ends is bounded.
+func TestEventWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	var s eventstream.Splitter
+	piece := []byte("data: " + strings.Repeat("x", 8<<10) + "\n")
+	fed := 0
+	for {
+		_, _, err := s.Feed(piece)
+		fed += len(piece)
+		if err != nil {
+			is.True(errors.Is(err, eventstream.ErrTooLarge))
+			break
+		}
+		is.True(fed <= eventstream.MaxEventBytes)
+	}
+	is.True(fed <= eventstream.MaxEventBytes+len(piece))
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -25,6 +25,8 @@
 	ErrForeignAnswer = errors.New("answer of another request")
 	// ErrConnect: no connection could be made, so nothing was sent.
 	ErrConnect = errors.New("no connection")
+	// ErrHeadTooLarge: no answer's head ended within maxHeadBytes.
+	ErrHeadTooLarge = errors.New("head of the answer is too large")
 )
 
 // Error is a failed exchange. Sent is false only when no byte of the request
@@ -75,14 +77,49 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	source  *boundedSource
+	reader  *bufio.Reader // of source
 	reused  bool
 	expires time.Time
 }
 
+func newConn(nc net.Conn, address string) *conn {
+	source := &boundedSource{conn: nc}
+	return &conn{Conn: nc, address: address, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
+}
+
+// boundedSource reads from a connection and fails after a number of bytes while a bound
+// is set. http.ReadResponse has no bound of its own.
+type boundedSource struct {
+	conn    net.Conn
+	bounded bool
+	left    int
+}
+
+func (s *boundedSource) Read(p []byte) (int, error) {
+	if !s.bounded {
+		return s.conn.Read(p)
+	}
+	if s.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := s.conn.Read(p[:min(len(p), s.left)])
+	s.left -= n
+	return n, err
+}
+
 // readBuffer holds a few events of a stream or a usual plain answer.
 const readBuffer = 4 << 10
 
+const (
+	// maxHeadBytes bounds the heads that are read until the one of the request's answer
+	// has ended, interim ones included: the same as a caller's head.
+	maxHeadBytes = 64 << 10
+	// maxForeignBytes bounds the body of an answer to another request that is passed
+	// over. A larger one costs more than a new connection.
+	maxForeignBytes = 64 << 10
+)
+
 // maxForeign is the number of answers of other requests that are passed over on
 // one connection before it is given up.
 const maxForeign = 2
@@ -247,7 +284,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, address: r.Address, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return newConn(nc, r.Address), nil
 }
 
 // take returns the idle connection that was used last, nil when there is none.
@@ -355,6 +392,8 @@
 // readAnswer reads the head of the request's answer. Interim answers and late
 // answers of earlier requests are passed over.
 func (p *Pool) readAnswer(c *conn, r Request) (*http.Response, error) {
+	c.source.bounded, c.source.left = true, maxHeadBytes
+	defer func() { c.source.bounded = false }()
 	for foreign := 0; ; {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -368,11 +407,25 @@
 		}
 		foreign++
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		if foreign > maxForeign || !framed || resp.Close {
+		if foreign > maxForeign || !framed || resp.Close || resp.ContentLength > maxForeignBytes {
 			return nil, ErrForeignAnswer
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := c.passOver(resp.Body); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrForeignAnswer, err)
 		}
 	}
 }
+
+// errForeignTooLarge: an answer to another request is not worth reading to its end.
+var errForeignTooLarge = errors.New("its body is too large")
+
+// passOver reads the body of an answer to another request to its end.
+func (c *conn) passOver(body io.Reader) error {
+	c.source.bounded = false
+	defer func() { c.source.bounded = true }()
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1))
+	if err == nil && n > maxForeignBytes {
+		err = errForeignTooLarge
+	}
+	return err
+}
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -395,7 +395,11 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			whole, events := g.events.Feed(buffer[:n])
+			whole, events, spoiled := g.events.Feed(buffer[:n])
+			if spoiled != nil {
+				g.g.control.failed(r.chain.Stages[0].Server)
+				return unknown, spoiled
+			}
 			if events > 0 {
 				now := time.Now()
 				if r.events.Add(int64(events)) == int64(events) {
@@ -403,6 +407,8 @@
 				}
 				r.lastEvent.Store(now.UnixNano())
 				g.forward(now, answer, whole)
+			} else if g.begun && len(whole) > 0 { // comments
+				g.write(whole)
 			}
 		}
 		if err == nil {
@@ -436,6 +442,11 @@
 		g.longestGap = gap
 	}
 	g.lastEvent = now
+	g.write(whole)
+}
+
+// write sends bytes to the caller at once.
+func (g *generation) write(whole []byte) {
 	if _, err := g.w.Write(whole); err != nil {
 		return // the caller has left: its context ends the run
 	}
