Few VMs call the store, and probes of dead engines do not grow with the fleet

Cause: on the large site each of 118 VMs held a read of the configuration, read the list of upstreams at its start, and asked again each 0.3 s (times VMs / 8) when the store turned it away; each VM probed each dead engine each second, and again for each piece of news that called it dead.

Others learn the configuration by news, and a VM that starts takes the list from another one. pkg/outlier spreads the probes of an ejected upstream over the fleet and looks once when it hears of its death or return.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -37,6 +37,8 @@
 	peers   map[fleet.VMID]*peerState
 	// promised is set when the promises of other VMs changed since the gates got them.
 	promised bool
+	// phase is this VM's place among those that probe a dead upstream, in [0, 1).
+	phase float64
 	// slow holds the engines that work more slowly than usual, with their factor.
 	slow map[fleet.UpstreamID]float64
 	// layers holds what engines reported and their entries do not show yet.
@@ -54,8 +56,15 @@
 	gates    map[catalog.ServiceID]*gate
 
 	listed   bool // the list of upstreams was read once
+	listedAt time.Time
 	storeUp  bool
 	storeBad time.Time // the begin of the last outage
+	// reachedAt is when the store last answered a call of this VM, failedAt when one
+	// last failed.
+	reachedAt time.Time
+	failedAt  time.Time
+	// fetchingList is set while the list is on its way from another VM.
+	fetchingList bool
 	// storeAway is the opposite of storeUp, for other goroutines.
 	storeAway atomic.Bool
 
@@ -84,7 +93,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &control{
 		g: g, events: make(chan func(time.Time), controlQueue),
-		roster: roster.New(), health: outlier.New(healthConfig()),
+		roster: roster.New(), health: outlier.New(healthConfig(1, 0)), phase: random.Float64(),
 		members: membership.New(membership.Config{
 			Self: self, Incarnation: uint64(now.UnixMilli()), Domain: fleet.DataCentreID(self.Region), Seeds: g.settings.Seeds,
 		}, now, random),
@@ -95,18 +104,30 @@
 	}
 }
 
+// probeTimeout is how long a probe may stay unanswered before its upstream is blamed:
+// some hundred round trips.
+const probeTimeout = 350 * time.Millisecond
+
 // healthConfig returns the limits of failure detection. Engines in one layer
 // range have no peers to compare with, so that latency is not judged here.
-func healthConfig() outlier.Config {
+func healthConfig(vms int, phase float64) outlier.Config {
 	c := outlier.DefaultConfig()
 	c.BaseEjection = time.Second
 	c.MaxEjection = 4 * time.Second // entries in the store follow a lost upstream within seconds
 	c.Ramp = 2 * time.Second
-	c.ProbeTimeout = 350 * time.Millisecond
+	c.ProbeTimeout = probeTimeout
 	c.LatencyFactor = 1e9
+	c.Phase = phase
+	if vms > probingVMs {
+		c.Reprobe = c.BaseEjection * time.Duration(vms) / probingVMs
+	}
 	return c
 }
 
+// probingVMs is the number of VMs that probe a dead upstream each BaseEjection. In a
+// larger fleet each VM probes less often, and learns from the others of a return.
+const probingVMs = 4
+
 // post hands an event to the control goroutine. An event that does not fit is
 // dropped and counted: the state that it would have changed is found again by
 // the next one of its kind.
@@ -147,10 +168,7 @@
 	c.send(c.members.Tick(now))
 	c.endRefusals(now)
 	c.sweep(now)
-	c.g.deputy.Store(c.mayDeputise(now))
-	c.g.otherLeads.Store(c.anotherLeads(now))
-	c.g.readsForAll.Store(c.readsForAll(now))
-	c.g.candidate.Store(c.isCandidate(now))
+	c.assignDuty(now)
 	c.tellPeers(now)
 	c.forgetPeers(now)
 	c.shareOthers()
@@ -162,6 +180,7 @@
 		c.g.pool.Prune()
 		c.g.log.Suppressed()
 		c.g.setRetryLimits(now)
+		c.health.SetConfig(healthConfig(c.g.view.Load().vms, c.phase))
 		for id, since := range c.drains {
 			if now.Sub(since) > drainsKept {
 				delete(c.drains, id)
@@ -319,22 +338,30 @@
 // storeAnswered and storeFailed follow the store's health.
 func (c *control) storeAnswered() {
 	c.post(func(now time.Time) {
+		c.reachedAt = now
 		c.roster.StoreAnswered(now)
-		if !c.storeUp {
-			c.storeUp = true
-			c.storeAway.Store(false)
-			c.g.log.Log(event.LogBack).Str("stream", "store").Int64("away_ms", now.Sub(c.storeBad).Milliseconds()).Send()
-		}
+		c.storeIsBack(now, "own call")
 	})
 }
 
+// storeIsBack ends an outage of the store for this VM.
+func (c *control) storeIsBack(now time.Time, source string) {
+	if c.storeUp {
+		return
+	}
+	c.storeUp = true
+	c.storeAway.Store(false)
+	c.g.log.Log(event.LogBack).Str("stream", "store").Str("source", source).Int64("away_ms", now.Sub(c.storeBad).Milliseconds()).Send()
+}
+
 // storeIsUp reports whether the store answered last, for other goroutines.
 func (c *control) storeIsUp() bool { return !c.storeAway.Load() }
 
 func (c *control) storeFailed(call string, err error) {
 	c.g.stats.Count("store_calls_failed", "call", call)
-	c.g.storeFailedAt.Store(time.Now().UnixNano())
+	c.g.storeFailedAt.Store(int64(time.Since(c.g.started)))
 	c.post(func(now time.Time) {
+		c.failedAt = now
 		c.roster.StoreFailed(now)
 		if c.storeUp {
 			if end := c.g.endConfigRead.Load(); end != nil {
@@ -406,7 +433,7 @@
 	}
 	c.g.stats.Count("probes")
 	c.g.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(c.g.running, healthConfig().ProbeTimeout)
+		ctx, cancel := context.WithTimeout(c.g.running, probeTimeout)
 		defer cancel()
 		if service.Engine == nil {
 			answered, healthy, err := c.g.servers.Health(ctx, u.Address, service.HealthPath)
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -8,6 +8,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/pkg/storewatch"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -15,29 +16,39 @@
 	// configWait is how long a read of the operator's topic stays open. A change is
 	// answered at once. A connection that went silent ends by its keep-alive probes,
 	// and other VMs tell of a newer configuration.
-	configWait = 8000 * time.Millisecond
-	// configShortWait is the same for the VM that reads for all, and while the store has
-	// not been sound for storeCalm: a read that is open when the store falls silent is
-	// never answered, and is noticed after the wait and configMargin.
+	configWait = 20 * time.Second
+	// configShortWait is the same while the store has not been sound for storeCalm. A read
+	// that is open when the store falls silent is never answered: it ends when another
+	// call of this VM fails, at the latest after the wait and configMargin.
 	configShortWait = 2000 * time.Millisecond
 	configMargin    = 600 * time.Millisecond
 	storeCalm       = 10 * time.Second
+	// watchPause is the interval at which a VM that learns of the configuration from
+	// others finds out whether it is to read it itself.
+	watchPause = 200 * time.Millisecond
 	// upstreamInterval is the time between two reads of the upstreams' topic by the
 	// VM that reads it for all. Many entries are gathered in one read, because calls
 	// to the store are priced; a draining upstream must get no work after 2 s.
 	upstreamInterval = 1000 * time.Millisecond
 	// listingLate is the time without a listing of another VM after which a VM reads
-	// the topic itself; it leaves time for that read within the 2 s above.
+	// the topic itself; it leaves time for that read within the 2 s above. A list is
+	// offered to a VM that starts while it is not older than listFresh.
 	listingLate = 1500 * time.Millisecond
+	listFresh   = 2 * listingLate
 	// listingQueue bounds the listings that wait to be taken in.
 	listingQueue = 16
 	// storeTimeout bounds a call to the store, whose answer usually takes 4 ms; on a
 	// slow day it takes 60 times as long.
 	storeTimeout = 1500 * time.Millisecond
-	// storeRetry is the pause after a failed call in a fleet of up to storeFewVMs; it
-	// grows with the number of VMs, whose calls the store limits together.
-	storeRetry  = 300 * time.Millisecond
-	storeFewVMs = 8
+	// startWait is how long a VM that starts waits for what other VMs know before it
+	// asks the store itself: several intervals of their news. VMs that others join
+	// through do not wait, so that after a stop of all VMs some read at once.
+	startWait = 1200 * time.Millisecond
+	// heardStoreAfter is the time since an own failed call after which a listing of
+	// another VM counts as a sign that the store answers this VM too.
+	heardStoreAfter = 4 * time.Second
+	// emptyPause is the pause after a read of a topic that holds no configuration yet.
+	emptyPause = 300 * time.Millisecond
 )
 
 // pause waits and reports false when ctx ended first.
@@ -52,11 +63,26 @@
 	}
 }
 
-// followConfig keeps the configuration up to date until ctx ends.
+// asksPeersFirst reports whether this VM waits for what others know when it starts.
+func (g *Gateway) asksPeersFirst() bool { return len(g.settings.Seeds) > 0 && !g.settings.IsSeed }
+
+// followConfig keeps the configuration up to date until ctx ends. Some VMs read it from
+// the store; the others learn of it from them.
 func (g *Gateway) followConfig(ctx context.Context) {
 	var next uint64
 	whole := true
+	failures := 0
+	if g.asksPeersFirst() {
+		until := time.Now().Add(spread(startWait))
+		for g.view.Load().catalog == nil && time.Now().Before(until) {
+			pause(ctx, watchPause/2)
+		}
+	}
 	for ctx.Err() == nil {
+		if !g.duty.Load().Watches && g.view.Load().catalog != nil {
+			pause(ctx, watchPause)
+			continue
+		}
 		page, err := g.readConfig(ctx, next, whole)
 		if errors.Is(err, platform.ErrExpired) {
 			whole = true
@@ -66,10 +92,11 @@
 			continue
 		}
 		if err != nil {
-			g.readFailed(ctx, platform.OperatorTopic, err)
+			failures++
+			g.readFailed(ctx, platform.OperatorTopic, failures, err)
 			continue
 		}
-		next, whole = page.End, false
+		next, whole, failures = page.End, false, 0
 		g.control.storeAnswered()
 		var newest []byte
 		for _, r := range page.Records {
@@ -79,7 +106,7 @@
 		}
 		if newest != nil {
 			g.control.configRead(newest, "store")
-		} else if len(page.Records) == 0 && g.view.Load().catalog == nil && !pause(ctx, storeRetry) {
+		} else if len(page.Records) == 0 && g.view.Load().catalog == nil && !pause(ctx, emptyPause) {
 			return
 		}
 	}
@@ -97,12 +124,12 @@
 
 // readFailed notes a failed read and waits before the next one, which goes on from
 // the same offset: a topic whose records expired meanwhile says so.
-func (g *Gateway) readFailed(ctx context.Context, topic string, err error) {
+func (g *Gateway) readFailed(ctx context.Context, topic string, failures int, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	g.control.storeFailed(topic, err)
-	pause(ctx, storeRetry*time.Duration(max(1, g.view.Load().vms/storeFewVMs)))
+	pause(ctx, storewatch.RetryPause(failures, *g.duty.Load(), random()))
 }
 
 // readConfig reads the operator's topic. The read ends early when another call to the
@@ -112,69 +139,113 @@
 	defer cancel()
 	g.endConfigRead.Store(&cancel)
 	wait := configWait
-	if g.readsForAll.Load() || time.Since(time.Unix(0, g.storeFailedAt.Load())) < storeCalm {
+	if time.Since(g.started)-time.Duration(g.storeFailedAt.Load()) < storeCalm {
 		wait = configShortWait
 	}
 	return g.readTopic(ctx, platform.OperatorTopic, next, whole, wait, wait+configMargin)
 }
 
 // followUpstreams keeps the list of upstreams up to date until ctx ends. One VM
-// reads the topic for all and tells the others; each reads it itself at its start,
-// and when it does not hear of it in time.
+// reads the topic for all and tells the others; each reads it itself when it does not
+// hear of it in time.
 func (g *Gateway) followUpstreams(ctx context.Context) {
-	follower := roster.NewFollower()
-	late := time.NewTimer(0)
-	defer late.Stop()
+	f := &listFollower{g: g, Follower: roster.NewFollower(), late: time.NewTimer(0)}
+	defer f.late.Stop()
+	if g.asksPeersFirst() {
+		f.late.Reset(spread(startWait))
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case answer := <-g.snapshots:
+			answer <- f.snapshot(time.Now())
 		case l := <-g.listings:
-			switch next, _ := follower.Next(); {
-			case follower.Hear(l):
-				g.take(l, false, false)
-				late.Reset(g.listingWait())
-			case l.From > next: // one was missed
-				late.Reset(0)
-			}
-			continue
-		case <-late.C:
-		}
-		if g.readUpstreams(ctx, follower) {
-			late.Reset(g.listingWait())
-		} else {
-			late.Reset(0)
+			f.hear(l)
+		case <-f.late.C:
+			f.read(ctx)
 		}
 	}
 }
 
+// listFollower is the state of followUpstreams.
+type listFollower struct {
+	*roster.Follower
+	g *Gateway
+	// late fires when the list must be read from the store.
+	late *time.Timer
+	// taken is when a listing was last taken in.
+	taken    time.Time
+	failures int
+}
+
+// snapshot returns the list for a VM that starts; an old one is not whole.
+func (f *listFollower) snapshot(now time.Time) roster.Listing {
+	l := f.Snapshot()
+	l.Whole = l.Whole && now.Sub(f.taken) < listFresh
+	return l
+}
+
+// hear takes in a listing of another VM.
+func (f *listFollower) hear(l roster.Listing) {
+	switch next, _ := f.Next(); {
+	case f.Adopt(l) || f.Hear(l):
+		f.taken = time.Now()
+		f.g.take(l, false, false)
+		f.late.Reset(f.g.listingWait())
+	case l.Whole: // an own read came first
+	case l.From > next && f.Begun(): // one was missed
+		f.late.Reset(0)
+	}
+}
+
+// read reads the upstreams' topic, unless the store answers nobody and others go on
+// asking it.
+func (f *listFollower) read(ctx context.Context) {
+	if f.Begun() && f.g.duty.Load().OthersTry {
+		f.late.Reset(f.g.listingWait())
+		return
+	}
+	again, err := f.g.readUpstreams(ctx, f.Follower)
+	switch {
+	case err != nil:
+		f.failures++
+		f.g.readFailed(ctx, platform.UpstreamTopic, f.failures, err)
+		f.late.Reset(0)
+	case again:
+		f.late.Reset(0)
+	default:
+		f.taken, f.failures = time.Now(), 0
+		f.late.Reset(f.g.listingWait())
+	}
+}
+
 // listingWait returns the time to the next own read of the upstreams' topic. VMs that
 // miss a listing do not all read at the same moment.
 func (g *Gateway) listingWait() time.Duration {
-	if g.readsForAll.Load() {
+	if g.duty.Load().ReadsList {
 		return upstreamInterval
 	}
 	return listingLate + time.Duration(random()*float64(listingLate)/8)
 }
 
-// readUpstreams reads the upstreams' topic and reports false when it must be read
-// again at once.
-func (g *Gateway) readUpstreams(ctx context.Context, follower *roster.Follower) bool {
+// readUpstreams reads the upstreams' topic and reports whether it must be read again at
+// once.
+func (g *Gateway) readUpstreams(ctx context.Context, follower *roster.Follower) (again bool, err error) {
 	next, whole := follower.Next()
 	begun := follower.Begun()
 	page, err := g.readTopic(ctx, platform.UpstreamTopic, next, whole, 0, storeTimeout)
 	if errors.Is(err, platform.ErrExpired) {
 		follower.Expired()
-		return false
+		return true, nil
 	}
 	if err != nil {
-		g.readFailed(ctx, platform.UpstreamTopic, err)
-		return false
+		return false, err
 	}
 	g.control.storeAnswered()
 	l := follower.Read(g.decodeEntries(page), page.End, whole)
 	g.take(l, true, begun)
-	return !whole // what changed while the whole topic was read follows at once
+	return whole, nil // what changed while the whole topic was read follows at once
 }
 
 // decodeEntries decodes a page of the upstreams' topic.
@@ -203,8 +274,11 @@
 		c := g.control
 		if own {
 			l.SoundFor = c.roster.SoundFor(now)
+		} else if now.Sub(c.failedAt) > heardStoreAfter {
+			c.storeIsBack(now, "another VM")
 		}
-		if tell && g.readsForAll.Load() {
+		c.listedAt = now
+		if tell && g.duty.Load().ReadsList {
 			c.tellListing(l)
 		}
 		if !c.listed {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/cornelline/cornelline/pkg/retry"
 	"github.com/cornelline/cornelline/pkg/roster"
 	"github.com/cornelline/cornelline/pkg/stats"
+	"github.com/cornelline/cornelline/pkg/storewatch"
 	"github.com/cornelline/cornelline/pkg/wire"
 	"github.com/cornelline/cornelline/platform"
 )
@@ -81,21 +82,17 @@
 	bounds atomic.Pointer[platform.Bounds]
 
 	// leading is set while this VM gives orders; token is the highest fencing token
-	// known here; deputy says whether this VM may lead without the store.
+	// known here.
 	leading atomic.Bool
 	token   atomic.Uint64
-	deputy  atomic.Bool
-	// candidate is set while this VM stays in the group from which the leader comes.
-	candidate atomic.Bool
-	// otherLeads is set while another VM is heard to lead.
-	otherLeads atomic.Bool
 
-	// readsForAll is set while this VM reads the list of upstreams for all of them;
-	// listings are those of another VM that does.
-	readsForAll atomic.Bool
-	listings    chan roster.Listing
+	// duty is what this VM does at the store; listings are those of the VM that reads
+	// the list of upstreams for all, snapshots the requests of VMs that start.
+	duty      atomic.Pointer[storewatch.Duty]
+	listings  chan roster.Listing
+	snapshots chan chan<- roster.Listing
 
-	// storeFailedAt is when a call to the store last failed, in Unix nanoseconds;
+	// storeFailedAt is when a call to the store last failed, as time since the start;
 	// endConfigRead ends the read of the configuration that is open.
 	storeFailedAt atomic.Int64
 	endConfigRead atomic.Pointer[context.CancelFunc]
@@ -127,13 +124,15 @@
 		settings: settings, log: log, output: output, stats: stats.New(), started: time.Now(),
 		store: platform.NewStore(settings.Store.Address, exchange.Dialer(connectTimeout, unacknowledgedTimeout, storeKeepAlive)), servers: platform.NewServers(dial),
 		stopper: newStopper(), streams: newStreams(), crashes: newCrashes(), returns: newReturns(),
-		listings: make(chan roster.Listing, listingQueue),
+		listings: make(chan roster.Listing, listingQueue), snapshots: make(chan chan<- roster.Listing),
 	}
 	g.pool = exchange.New(exchange.Config{
 		Dial: dial, KeepIdle: keepIdle, MaxIdle: maxIdle, Now: time.Now,
 		IsAnswer: isAnswer, IdleLimit: func(h http.Header) time.Duration { return platform.ParseReply(http.StatusOK, h).IdleLimit },
 	})
 	g.view.Store(emptyView())
+	g.duty.Store(&storewatch.Duty{First: true})
+	g.storeFailedAt.Store(-int64(storeCalm))
 	g.bounds.Store(&settings.Bounds)
 	g.retries = retry.New(g.retryLimits(1, 1-moveShare))
 	g.moves = retry.New(g.retryLimits(1, moveShare))
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -8,6 +8,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/layout"
+	"github.com/cornelline/cornelline/pkg/storewatch"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -20,9 +21,6 @@
 	// the interval of renewals.
 	leadTTL   = 3 * time.Second
 	leadRenew = 1 * time.Second
-	// leadCandidates bounds the VMs that stay in the group, so that its calls do not
-	// grow with the fleet; a VM that hears fewer before it by identity is one.
-	leadCandidates = 4
 	// orderTimeout bounds a call to an engine.
 	orderTimeout = 600 * time.Millisecond
 	// orderInterval is the interval at which the leader looks at the engines.
@@ -37,10 +35,8 @@
 	// askInterval is the interval at which the leader asks all engines for their
 	// state. Reports are priced; a slow engine holds up all chains through it.
 	askInterval = time.Second
-	// deputyAfter is how long the store must be away before a deputy leads, and
-	// peerFresh the age of news that counts in its choice.
+	// deputyAfter is how long the store must be away before a deputy leads.
 	deputyAfter = 600 * time.Millisecond
-	peerFresh   = 1500 * time.Millisecond
 	// lostAfter is how long an engine must be dead before its layers are placed
 	// anew though its entry still stands.
 	lostAfter = 800 * time.Millisecond
@@ -97,36 +93,20 @@
 	}
 }
 
-// mayDeputise reports whether this VM may lead while the store is away: nobody
-// who is heard leads or reaches the store, and it is the first of those heard.
-// Two deputies that do not hear each other use tokens of their own, and each order
-// names the number of orders that its engine must have accepted before.
-func (c *control) mayDeputise(now time.Time) bool {
-	if c.storeUp || now.Sub(c.storeBad) < deputyAfter {
-		return false
-	}
+// assignDuty finds out what this VM does at the store. Two deputies that do not hear
+// each other use tokens of their own, and each order names the number of orders that
+// its engine must have accepted before.
+func (c *control) assignDuty(now time.Time) {
+	peers := make([]storewatch.Peer, 0, len(c.peers))
 	for id, p := range c.peers {
-		if now.Sub(p.heard) > peerFresh || p.Stopping {
-			continue
-		}
-		if p.Leading || !p.StoreAway || id < c.g.settings.Self.ID {
-			return false
-		}
-	}
-	return true
-}
-
-// isCandidate reports whether this VM is to stay in the group of the leader.
-func (c *control) isCandidate(now time.Time) bool { return c.peersBefore(now) < leadCandidates }
-
-// anotherLeads reports whether a VM that was heard lately gives orders.
-func (c *control) anotherLeads(now time.Time) bool {
-	for _, p := range c.peers {
-		if p.Leading && now.Sub(p.heard) <= peerFresh {
-			return true
-		}
+		peers = append(peers, storewatch.Peer{
+			ID: id, Heard: p.heard, Away: p.StoreAway, Reached: p.StoreReached, Watching: p.Watching, Leading: p.Leading, Stopping: p.Stopping,
+		})
 	}
-	return false
+	self := storewatch.Self{ID: c.g.settings.Self.ID, Away: !c.storeUp, Stopping: c.g.stopper.stopping()}
+	d := storewatch.Assign(now, self, peers)
+	d.MayDeputise = d.MayDeputise && now.Sub(c.storeBad) >= deputyAfter
+	c.g.duty.Store(&d)
 }
 
 // lead takes part in the choice of the leader and gives orders while this VM is it.
@@ -146,7 +126,7 @@
 		if v := g.view.Load(); v.catalog == nil || len(v.gates) == 0 {
 			continue
 		}
-		if now := time.Now(); !now.Before(renewAt) && (l.holds || g.candidate.Load()) {
+		if now := time.Now(); !now.Before(renewAt) && (l.holds || g.duty.Load().Candidate) {
 			renewAt = now.Add(leadRenew)
 			l.renew(ctx, &touched)
 		}
@@ -172,10 +152,10 @@
 	// goes on until another VM leads or the group has had time to find out.
 	found := !l.storeBack.IsZero() && time.Since(l.storeBack) > leadTTL+leadRenew
 	switch {
-	case l.acting && (holding || found || l.g.otherLeads.Load()):
+	case l.acting && (holding || found || l.g.duty.Load().OtherLeads):
 		l.acting = false
 		l.g.log.Log(event.PlacementLeaseLost).Uint64("epoch", l.fence).Str("reason", "the group has a leader again").Send()
-	case !l.acting && !holding && l.g.deputy.Load():
+	case !l.acting && !holding && l.g.duty.Load().MayDeputise:
 		l.acting = true
 		l.fence = l.g.token.Load() + 1
 		l.g.seeToken(l.fence)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -11,6 +11,7 @@
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/pkg/storewatch"
 	"github.com/cornelline/cornelline/pkg/wire"
 )
 
@@ -18,8 +19,8 @@
 	// peerStale is the age of news after which a VM's promises no longer count: it
 	// has ended, and its streams with it.
 	peerStale = 3 * time.Second
-	// configFetchTimeout bounds the transfer of a configuration from another VM.
-	configFetchTimeout = time.Second
+	// fetchTimeout bounds the transfer of a configuration or a list from another VM.
+	fetchTimeout = time.Second
 )
 
 // errUnknownMessage is returned to a peer for a request that this VM does not know.
@@ -38,11 +39,7 @@
 		return
 	}
 	if listing, ok := m.(*peering.Listing); ok {
-		select {
-		case g.listings <- listing.Listing:
-		default: // a listing that is lost leaves a gap, which is read from the store
-			g.stats.Count("listings_dropped")
-		}
+		g.hearListing(listing.Listing)
 		return
 	}
 	g.control.post(func(now time.Time) {
@@ -56,6 +53,9 @@
 
 // respond answers a peer's request.
 func (g *Gateway) respond(ctx context.Context, _ wire.Peer, m wire.Message) (wire.Message, error) {
+	if _, ok := m.(*peering.ListWant); ok {
+		return g.offerList(ctx)
+	}
 	want, ok := m.(*peering.ConfigWant)
 	if !ok {
 		return nil, errUnknownMessage
@@ -119,7 +119,10 @@
 		c.takeSlowness(s.Slow)
 	}
 	for _, id := range s.Dead { // another VM's finding is a reason to look, not a verdict
-		c.act(now, c.health.Silent(now, id, nil))
+		c.act(now, c.health.HeardDown(now, id, nil))
+	}
+	for _, id := range s.Back {
+		c.act(now, c.health.HeardBack(now, id, nil))
 	}
 	for _, id := range s.Refusing {
 		if _, ok := c.roster.Get(id); ok {
@@ -141,6 +144,9 @@
 	if c.catalog == nil || s.Config > c.catalog.Version {
 		c.fetchConfig(s.VM)
 	}
+	if !c.listed && s.Listed {
+		c.fetchList(s.VM)
+	}
 }
 
 // shareOthers gives the gates what the other VMs have promised, if that changed. It
@@ -183,7 +189,9 @@
 	}
 	c.sequence++
 	s := &peering.State{
-		VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence, StoreAway: !c.storeUp, Stopping: c.g.stopper.stopping(),
+		VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence, Stopping: c.g.stopper.stopping(),
+		StoreAway: !c.storeUp, StoreReached: c.storeUp && now.Sub(c.reachedAt) < storewatch.ReachedFor, Watching: c.g.duty.Load().Watches,
+		Listed:  c.listed && now.Sub(c.listedAt) < listFresh,
 		Leading: c.g.leading.Load(), Token: c.g.token.Load(), Refused: c.g.returns.takeNews(),
 	}
 	if c.catalog != nil {
@@ -195,6 +203,11 @@
 	for id := range v.dead {
 		s.Dead = append(s.Dead, id)
 	}
+	for _, u := range v.list {
+		if c.health.Returning(u.ID) {
+			s.Back = append(s.Back, u.ID)
+		}
+	}
 	for id, r := range c.refusals { // only own findings, so that news does not go round for ever
 		if r.count >= refusalsToJudge && now.Before(r.until) {
 			s.Refusing = append(s.Refusing, id)
@@ -212,25 +225,6 @@
 	c.g.tell(s) // the next news replaces what is lost
 }
 
-// readsForAll reports whether this VM reads the list of upstreams for the others: it
-// is the first by identity of those that were heard lately and reach the store. Two
-// that do not hear each other may both read, which only costs calls.
-func (c *control) readsForAll(now time.Time) bool {
-	return c.storeUp && !c.g.stopper.stopping() && c.peersBefore(now) == 0
-}
-
-// peersBefore counts the VMs before this one by identity that were heard lately, stay
-// and reach the store.
-func (c *control) peersBefore(now time.Time) int {
-	before := 0
-	for id, p := range c.peers {
-		if id < c.g.settings.Self.ID && now.Sub(p.heard) <= peerFresh && !p.StoreAway && !p.Stopping {
-			before++
-		}
-	}
-	return before
-}
-
 // tellListing sends a listing to the other VMs, also an empty one: it says that the
 // list stands.
 func (c *control) tellListing(l roster.Listing) {
@@ -260,7 +254,7 @@
 		want.Version = c.catalog.Version
 	}
 	c.g.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(c.g.running, configFetchTimeout)
+		ctx, cancel := context.WithTimeout(c.g.running, fetchTimeout)
 		defer cancel()
 		answer, err := c.g.peers.Call(ctx, address, want)
 		if offer, ok := answer.(*peering.ConfigOffer); ok && len(offer.Data) > 0 {
@@ -272,3 +266,47 @@
 		c.post(func(time.Time) { c.fetching = false })
 	})
 }
+
+// fetchList asks another VM for the list of upstreams, in place of an own read at the
+// start.
+func (c *control) fetchList(vm fleet.VMID) {
+	address, ok := c.g.view.Load().peers[vm]
+	if c.fetchingList || !ok {
+		return
+	}
+	c.fetchingList = true
+	c.g.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(c.g.running, fetchTimeout)
+		defer cancel()
+		answer, err := c.g.peers.Call(ctx, address, &peering.ListWant{})
+		if offer, ok := answer.(*peering.ListOffer); ok && offer.Whole {
+			c.g.hearListing(offer.Listing)
+		}
+		if err != nil {
+			c.g.stats.Count("list_fetches_failed")
+		}
+		c.post(func(time.Time) { c.fetchingList = false })
+	})
+}
+
+// offerList answers a VM that starts.
+func (g *Gateway) offerList(ctx context.Context) (wire.Message, error) {
+	answer := make(chan roster.Listing, 1)
+	select {
+	case g.snapshots <- answer:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(fetchTimeout): // the follower waits for the store
+		return &peering.ListOffer{}, nil
+	}
+	return &peering.ListOffer{Listing: <-answer}, nil
+}
+
+// hearListing hands another VM's listing to the follower of the list.
+func (g *Gateway) hearListing(l roster.Listing) {
+	select {
+	case g.listings <- l:
+	default: // a listing that is lost leaves a gap, which is read from the store
+		g.stats.Count("listings_dropped")
+	}
+}
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -41,6 +41,11 @@
 	Ramp time.Duration
 	// ProbeTimeout is how long a probe may stay unanswered before the upstream is blamed.
 	ProbeTimeout time.Duration
+	// Reprobe is the mean time between two probes of an ejected upstream. A fleet that
+	// shares the probing and tells each other of returns grows it with the number of VMs.
+	// Phase, in [0, 1), is this VM's place in it: the first probe as often as a VM alone.
+	Reprobe time.Duration
+	Phase   float64
 }
 
 // DefaultConfig returns the documented defaults.
@@ -130,7 +135,8 @@
 	cleanAt   time.Time // last ejection ended
 	probing   bool
 	probedAt  time.Time
-	why       Reason // why the running probe was asked for
+	why       Reason    // why the running probe was asked for
+	heardAt   time.Time // when another VM's finding last led to a probe
 	weight    float64
 }
 
@@ -222,6 +228,42 @@
 	return d.probe(now, u, ReasonSilent, out)
 }
 
+// hearsayInterval is the least time between two probes of an upstream for what other
+// VMs say of it: they repeat it with all their news.
+const hearsayInterval = 2 * time.Second
+
+// HeardDown notes that another VM found the upstream dead, which is a reason to look.
+func (d *Detector) HeardDown(now time.Time, id fleet.UpstreamID, out []Action) []Action {
+	u := d.ups[id]
+	if u == nil || u.phase != healthy {
+		return out
+	}
+	return d.probeHearsay(now, u, ReasonSilent, out)
+}
+
+// HeardBack notes that an upstream that was dead answered another VM.
+func (d *Detector) HeardBack(now time.Time, id fleet.UpstreamID, out []Action) []Action {
+	u := d.ups[id]
+	if u == nil || u.phase != ejected {
+		return out
+	}
+	return d.probeHearsay(now, u, u.why, out)
+}
+
+func (d *Detector) probeHearsay(now time.Time, u *state, why Reason, out []Action) []Action {
+	if u.probing || now.Sub(u.heardAt) < hearsayInterval {
+		return out
+	}
+	u.heardAt = now
+	return d.probe(now, u, why, out)
+}
+
+// Returning reports whether the upstream answered a probe after it was ejected, not long ago.
+func (d *Detector) Returning(id fleet.UpstreamID) bool {
+	u := d.ups[id]
+	return u != nil && u.phase == returning
+}
+
 // Probed books the end of a probe over a new connection: ok when the upstream
 // answered, not ok when it refused the connection. A probe without an answer is
 // not booked; Tick counts it after ProbeTimeout.
@@ -308,7 +350,7 @@
 		return d.stayEjected(now, u, sure != unsure, out)
 	}
 	u.phase, u.why = ejected, why
-	u.until = now.Add(min(d.cfg.BaseEjection<<min(u.ejections, 16), d.cfg.MaxEjection))
+	u.until = now.Add(d.untilProbe(u.ejections))
 	u.cleanAt = u.until
 	u.ejections++
 	u.failures = 0
@@ -321,12 +363,22 @@
 // restart. Other failures of an ejected upstream are late news.
 func (d *Detector) stayEjected(now time.Time, u *state, probed bool, out []Action) []Action {
 	if probed {
-		u.until = now.Add(d.cfg.BaseEjection)
+		u.until = now.Add(d.untilProbe(0))
 		u.cleanAt = u.until
 	}
 	return out
 }
 
+// untilProbe returns the time until the next probe of an upstream that was ejected
+// before as often as ejections says.
+func (d *Detector) untilProbe(ejections int) time.Duration {
+	t := min(d.cfg.BaseEjection<<min(ejections, 16), d.cfg.MaxEjection)
+	if shared := time.Duration(2 * d.cfg.Phase * float64(d.cfg.Reprobe)); shared > t {
+		return shared
+	}
+	return t
+}
+
 // ramp raises the weight of a returning upstream from a tenth to 1.
 func (d *Detector) ramp(now time.Time, u *state, out []Action) []Action {
 	u.weight = 0.1 + 0.9*min(1, float64(now.Sub(u.since))/float64(max(d.cfg.Ramp, 1)))
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -15,8 +15,14 @@
 	Started int64
 	// Sequence grows with each message of a start.
 	Sequence uint64
-	// StoreAway is set while the store does not answer this VM.
-	StoreAway bool
+	// StoreAway is set while the store does not answer this VM, StoreReached if it
+	// answered a call of late. A VM that asks the store nothing sets neither.
+	StoreAway    bool
+	StoreReached bool
+	// Watching is set while the VM holds a read of the configuration at the store.
+	Watching bool
+	// Listed is set while the VM has a list of upstreams that it keeps up to date.
+	Listed bool
 	// Stopping is set while the VM drains.
 	Stopping bool
 	// Leading is set while the VM gives orders to engines. Token is the highest
@@ -32,6 +38,8 @@
 	Refused []uint64
 	// Dead are upstreams that refuse connections or do not answer.
 	Dead []fleet.UpstreamID
+	// Back are upstreams that were dead and answered a probe of late.
+	Back []fleet.UpstreamID
 	// Refusing are upstreams that refuse work though they have room for it.
 	Refusing []fleet.UpstreamID
 	// Held are layers that engines reported themselves and that their entries in
@@ -63,6 +71,12 @@
 // store; empty when it has none newer.
 type ConfigOffer struct{ Data []byte }
 
+// ListWant asks for the whole list of upstreams.
+type ListWant struct{}
+
+// ListOffer is the list of upstreams as a VM knows it; Whole is false when its own may be old.
+type ListOffer struct{ roster.Listing }
+
 // Crash reports that an upstream ended while it ran a request.
 type Crash struct {
 	Request  uint64 // fingerprint of the request
--- a/pkg/roster/follower.go
+++ b/pkg/roster/follower.go
@@ -13,8 +13,10 @@
 	// From and To are offsets: the change leads from the list before From to the list
 	// before To.
 	From, To uint64
-	Changed  []Upstream
-	Removed  []fleet.UpstreamID
+	// Whole is set for all that stands before To, whatever stood before From.
+	Whole   bool
+	Changed []Upstream
+	Removed []fleet.UpstreamID
 	// SoundFor is how long the store had answered its reader without a failure, at
 	// most ReturnTime.
 	SoundFor time.Duration
@@ -86,6 +88,9 @@
 // Hear takes in a listing of another VM. It reports false when it has nothing new or
 // does not join up: then the topic must be read from the next offset.
 func (f *Follower) Hear(l Listing) bool {
+	if l.Whole {
+		return false
+	}
 	if f.whole || l.From > f.next || l.To < f.next {
 		return false
 	}
@@ -98,3 +103,27 @@
 	f.next = l.To
 	return true
 }
+
+// Snapshot returns the list as a listing for a VM that has read nothing. It is not
+// whole before the topic was read.
+func (f *Follower) Snapshot() Listing {
+	l := Listing{To: f.next, Whole: f.begun && !f.whole}
+	for _, u := range f.known {
+		l.Changed = append(l.Changed, u)
+	}
+	return l
+}
+
+// Adopt takes in another VM's snapshot in place of the first read of the whole topic,
+// and reports whether it did.
+func (f *Follower) Adopt(l Listing) bool {
+	if f.begun || !l.Whole {
+		return false
+	}
+	f.known = make(map[fleet.UpstreamID]Upstream, len(l.Changed))
+	for _, u := range l.Changed {
+		f.known[u.ID] = u
+	}
+	f.next, f.whole, f.begun = l.To, false, true
+	return true
+}
--- a/pkg/roster/follower_test.go
+++ b/pkg/roster/follower_test.go
@@ -144,3 +144,30 @@
 	is.Equal(ids(r), []fleet.UpstreamID{"b"})
 	is.Equal(len(r.Tick(start.Add(roster.ReturnTime), nil)), 1)
 }
+
+// TestStartFromAnotherVM: a VM that starts takes another's list in place of an own read
+// and follows from there; a list that was not read whole, or that comes after an own
+// read, is not taken.
+func TestStartFromAnotherVM(t *testing.T) {
+	is := is.New(t)
+	store := topic{
+		{Upstream: roster.Upstream{ID: "left", Address: "a:1"}},
+		{Upstream: roster.Upstream{ID: "stays", Address: "b:1"}},
+		{Upstream: roster.Upstream{ID: "left"}, Removed: true},
+	}
+	old, started := roster.NewFollower(), roster.NewFollower()
+	is.True(!started.Adopt(old.Snapshot())) // nothing was read yet
+	store.read(old)
+	snapshot := old.Snapshot()
+	is.True(started.Adopt(snapshot))
+	is.Equal(len(snapshot.Changed), 1) // the upstream that left is not in use again
+	is.Equal(snapshot.Changed[0].ID, fleet.UpstreamID("stays"))
+	is.True(!started.Adopt(snapshot))
+	is.True(!started.Hear(snapshot))
+
+	store = append(store, roster.Entry{Upstream: roster.Upstream{ID: "stays"}, Removed: true})
+	next := store.read(old)
+	is.True(started.Hear(next))
+	is.Equal(next.Removed, []fleet.UpstreamID{"stays"})
+	is.Equal(len(started.Snapshot().Changed), 0)
+}
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -44,6 +44,8 @@
 	KindConfigOffer
 	KindCrash
 	KindListing
+	KindListWant
+	KindListOffer
 )
 
 // Message is one of the typed messages below, as a pointer.
@@ -82,6 +84,8 @@
 	KindConfigOffer:  reflect.TypeFor[peering.ConfigOffer](),
 	KindCrash:        reflect.TypeFor[peering.Crash](),
 	KindListing:      reflect.TypeFor[peering.Listing](),
+	KindListWant:     reflect.TypeFor[peering.ListWant](),
+	KindListOffer:    reflect.TypeFor[peering.ListOffer](),
 }
 
 var messageKinds = invert(messageTypes)
