One retry budget for all VMs, silence leads to a probe, starting VMs hold requests

(2) A crashed engine in the middle of a chain was noticed after 0.5 s of silence and a probe of up to 0.35 s: the median pause of continued generations was 498 ms where 200 ms is on time. (3) After the loss of power of all VMs 252 requests got 503 from VMs that had started 0.25 to 0.75 s before and knew no configuration yet; their callers come back once, and this was it. (4) The time of the last event was taken by the time of day, which may jump.

Changes: retry.Pool, from which each VM takes at most its part of what is left between two rounds of news; pkg/stall, pure, probes after 0.55 of the longest pause on time and moves runs from engines that refuse or leave a probe unanswered for 120 ms; callers are held for up to 2.5 s after the start; event times on the steady clock.

Ruled out: the planned restart itself; in calm seconds it makes no request late.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -70,6 +70,9 @@
 		return
 	}
 	service := c.view.catalog.Services[c.route.Pick(random())]
+	if service != nil {
+		g.budgets.request(c.arrived, service.ID)
+	}
 	switch {
 	case service == nil:
 		c.refuse(result.NoUpstream, configRetryAfter)
@@ -105,15 +108,16 @@
 
 // prepare checks the request and fills in what routing needs.
 func (c *call) prepare() error {
-	cat := c.view.catalog
-	if cat == nil {
-		return refusal(result.NotReady, configRetryAfter)
-	}
 	caller, err := platform.ParseCaller(c.r)
 	c.caller = caller
 	if err != nil {
 		return result.New(result.InvalidHeader, result.NotRun, "%v", err)
 	}
+	c.awaitStart()
+	cat := c.view.catalog
+	if cat == nil {
+		return refusal(result.NotReady, configRetryAfter)
+	}
 	path := c.r.RequestURI
 	if i := strings.IndexAny(path, "?#"); i >= 0 {
 		path = path[:i]
@@ -145,6 +149,37 @@
 	return c.readBody(cat.Limits.BodyBytes)
 }
 
+const (
+	// startHold is the age up to which a VM holds requests while it does not know the
+	// configuration or the upstreams yet. It learns both within a second unless the store
+	// is away, and callers whose requests broke off come back only once.
+	startHold = 2500 * time.Millisecond
+	// startShare is the part of a caller's deadline for which its request is held.
+	startShare = 0.25
+)
+
+// awaitStart holds the request while the VM is about to be able to serve it.
+func (c *call) awaitStart() {
+	deadline := c.caller.Deadline
+	if deadline <= 0 {
+		deadline = defaultDeadline
+	}
+	wait := min(startHold-c.arrived.Sub(c.g.started), time.Duration(startShare*float64(deadline)))
+	if wait <= 0 || c.view.catalog != nil && c.view.listed {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-c.g.known:
+		c.g.stats.Count("held_at_start", "outcome", "ready")
+	case <-timer.C:
+		c.g.stats.Count("held_at_start", "outcome", "not ready")
+	case <-c.r.Context().Done():
+	}
+	c.view = c.g.view.Load()
+}
+
 // readBody reads the whole body, so that a request can be sent again and a
 // caller's slowness holds no server.
 func (c *call) readBody(limit int64) error {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -14,6 +14,7 @@
 	"github.com/cornelline/cornelline/pkg/outlier"
 	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/pkg/stall"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -46,8 +47,8 @@
 	refusals map[fleet.UpstreamID]*refusals
 	// drains holds when upstreams announced their end, or their entry was removed.
 	drains map[fleet.UpstreamID]time.Time
-	// progress holds when a run through an engine last had an event.
-	progress map[fleet.UpstreamID]time.Time
+	// stall finds runs that make no progress.
+	stall *stall.Watch
 
 	// The configuration in force, also as it stands in the store, for other VMs.
 	catalog  *catalog.Catalog
@@ -68,6 +69,9 @@
 	// storeAway is the opposite of storeUp, for other goroutines.
 	storeAway atomic.Bool
 
+	// announced is set once requests that were held at the start go on.
+	announced bool
+
 	dirty    bool   // a new view must be published
 	sequence uint64 // of the news to the other VMs
 	news     peering.NewsTimer
@@ -99,7 +103,7 @@
 		}, now, random),
 		gates: make(map[catalog.ServiceID]*gate), peers: make(map[fleet.VMID]*peerState),
 		slow: make(map[fleet.UpstreamID]float64), layers: make(map[fleet.UpstreamID]heldLayers),
-		storeUp: true, progress: make(map[fleet.UpstreamID]time.Time),
+		storeUp: true, stall: stall.NewWatch(),
 		refusals: make(map[fleet.UpstreamID]*refusals), drains: make(map[fleet.UpstreamID]time.Time),
 	}
 }
@@ -157,7 +161,11 @@
 			c.tick(time.Now())
 		}
 		if c.dirty {
+			died := len(c.g.view.Load().dead)
 			c.publish(time.Now())
+			if len(c.g.view.Load().dead) > died { // its runs need not wait for the next tick
+				c.sweep(time.Now())
+			}
 		}
 	}
 }
@@ -225,7 +233,7 @@
 		if change.Gone || change.Why == roster.Listed {
 			delete(c.slow, u.ID)
 			delete(c.layers, u.ID)
-			delete(c.progress, u.ID)
+			c.stall.Forget(u.ID)
 			delete(c.refusals, u.ID)
 		}
 		switch {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -26,7 +26,6 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/result"
-	"github.com/cornelline/cornelline/pkg/retry"
 	"github.com/cornelline/cornelline/pkg/roster"
 	"github.com/cornelline/cornelline/pkg/stats"
 	"github.com/cornelline/cornelline/pkg/storewatch"
@@ -97,19 +96,16 @@
 	storeFailedAt atomic.Int64
 	endConfigRead atomic.Pointer[context.CancelFunc]
 
+	// known is closed once the configuration and the list of upstreams are known.
+	known chan struct{}
+
 	// traffic is set by the first request of a caller.
 	traffic atomic.Bool
 
 	crashes *crashes
 	returns *returns
 
-	retryMu sync.Mutex
-	// retries are for requests that failed, moves for runs that leave a server which
-	// is about to end: these could stay and must not use up what failures need.
-	retries *retry.Budget
-	moves   *retry.Budget
-	// retryHolders are the VMs that share them.
-	retryHolders retry.Holders
+	budgets *budgets
 
 	front, directory, ready, metrics *khttp.Server
 	running                          context.Context
@@ -123,7 +119,7 @@
 	g := &Gateway{
 		settings: settings, log: log, output: output, stats: stats.New(), started: time.Now(),
 		store: platform.NewStore(settings.Store.Address, exchange.Dialer(connectTimeout, unacknowledgedTimeout, storeKeepAlive)), servers: platform.NewServers(dial),
-		stopper: newStopper(), streams: newStreams(), crashes: newCrashes(), returns: newReturns(),
+		stopper: newStopper(), streams: newStreams(), crashes: newCrashes(), returns: newReturns(), known: make(chan struct{}), budgets: newBudgets(),
 		listings: make(chan roster.Listing, listingQueue), snapshots: make(chan chan<- roster.Listing),
 	}
 	g.pool = exchange.New(exchange.Config{
@@ -134,8 +130,7 @@
 	g.duty.Store(&storewatch.Duty{First: true})
 	g.storeFailedAt.Store(-int64(storeCalm))
 	g.bounds.Store(&settings.Bounds)
-	g.retries = retry.New(g.retryLimits(1, 1-moveShare))
-	g.moves = retry.New(g.retryLimits(1, moveShare))
+	g.setRetryLimits(g.started)
 	g.running, g.cancel = context.WithCancel(context.Background())
 	g.control = newControl(g)
 	if err := g.listen(); err != nil {
@@ -245,30 +240,6 @@
 	return err
 }
 
-// retryLimits returns the limits of a share of this VM's part of the retry budget
-// that all VMs share.
-func (g *Gateway) retryLimits(vms int, share float64) retry.Config {
-	b := g.bounds.Load()
-	shared := retry.Shared{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
-	age := time.Since(g.started)
-	if g.settings.FirstStart { // no process before this one used the budget
-		age = max(age, b.RetryWindow)
-	}
-	return shared.Part(vms, age, share)
-}
-
-// setRetryLimits follows the number of VMs, the bounds and this VM's age.
-func (g *Gateway) setRetryLimits(now time.Time) {
-	g.retryMu.Lock()
-	defer g.retryMu.Unlock()
-	vms := g.retryHolders.Seen(now, g.view.Load().vms)
-	g.retries.SetConfig(g.retryLimits(vms, 1-moveShare))
-	g.moves.SetConfig(g.retryLimits(vms, moveShare))
-}
-
-// moveShare is the part of the retry budget for runs that leave a server.
-const moveShare = 0.35
-
 // random returns a number in [0, 1).
 func random() float64 { return rand.Float64() }
 
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -162,7 +162,6 @@
 		}
 		switch got {
 		case answered:
-			g.g.earnRepeat(g.service.ID)
 			return
 		case left:
 			g.end(why)
@@ -285,7 +284,7 @@
 // run runs the generation on one chain. It also returns the chain that was reserved
 // when the run was ended for another one.
 func (g *generation) run(c *chain.Chain) (outcome, *chain.Chain, error) {
-	r := &run{chain: c, generation: g, movable: g.route.Resumable && g.runs+1 < max(g.route.Attempts, 1)}
+	r := newRun(g, c)
 	got, why := g.runOn(r)
 	return got, r.end(), why
 }
@@ -295,7 +294,6 @@
 	ctx, cancel := context.WithCancelCause(g.ctx)
 	defer cancel(nil)
 	r.cancel = cancel
-	r.lastEvent.Store(time.Now().UnixNano())
 	first := c.Stages[0]
 	head := platform.EncodeRequest(g.r, platform.Forward{
 		Team: g.team, Instance: first.Server, Left: g.left(), Chain: stages(c), LastEvent: g.events.LastID(), Urgency: min(g.rank, maxUrgency),
@@ -402,10 +400,9 @@
 			}
 			if events > 0 {
 				now := time.Now()
-				if r.events.Add(int64(events)) == int64(events) {
-					g.gate.served(r.chain, time.Unix(0, r.lastEvent.Load()))
+				if r.note(now, events) {
+					g.gate.served(r.chain, r.began)
 				}
-				r.lastEvent.Store(now.UnixNano())
 				g.forward(now, answer, whole)
 			} else if g.begun && len(whole) > 0 { // comments
 				g.write(whole)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -139,6 +139,7 @@
 	for _, f := range s.Refused {
 		c.g.returns.add(now, fingerprint(f), false)
 	}
+	c.g.budgets.heard(now, s)
 	c.g.seeToken(s.Token)
 	c.promised = true
 	if c.catalog == nil || s.Config > c.catalog.Version {
@@ -192,7 +193,7 @@
 		VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence, Stopping: c.g.stopper.stopping(),
 		StoreAway: !c.storeUp, StoreReached: c.storeUp && now.Sub(c.reachedAt) < storewatch.ReachedFor, Watching: c.g.duty.Load().Watches,
 		Listed:  c.listed && now.Sub(c.listedAt) < listFresh,
-		Leading: c.g.leading.Load(), Token: c.g.token.Load(), Refused: c.g.returns.takeNews(),
+		Leading: c.g.leading.Load(), Token: c.g.token.Load(), Refused: c.g.returns.takeNews(), Budgets: c.g.budgets.news(now),
 	}
 	if c.catalog != nil {
 		s.Config = c.catalog.Version
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -16,7 +16,6 @@
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/result"
-	"github.com/cornelline/cornelline/pkg/retry"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -129,18 +128,15 @@
 
 // mayRepeat takes one repeated send from the budget that all VMs share.
 func (c *call) mayRepeat(service *catalog.Service, why string) bool {
-	return c.takeRepeat(c.g.retries, service, why)
+	return c.takeRepeat(service, why, false)
 }
 
-// takeRepeat takes one send from a budget.
-func (c *call) takeRepeat(budget *retry.Budget, service *catalog.Service, why string) bool {
+// takeRepeat takes one send from the budget; move says that the run could stay where it is.
+func (c *call) takeRepeat(service *catalog.Service, why string, move bool) bool {
 	if c.gone() {
 		return false
 	}
-	c.g.retryMu.Lock()
-	allowed, _ := budget.Allow(time.Now(), fleet.TeamID(service.ID), fleet.UpstreamID(service.ID))
-	c.g.retryMu.Unlock()
-	if !allowed {
+	if !c.g.budgets.allow(time.Now(), service.ID, move) {
 		c.g.stats.Count("retries_denied", "reason", why)
 		c.line(event.RetryDenied).Str("reason", why).Send()
 		return false
@@ -149,16 +145,6 @@
 	return true
 }
 
-// earnRepeat books a request that earns the budget a part of a repeated send.
-func (g *Gateway) earnRepeat(service catalog.ServiceID) {
-	g.retryMu.Lock()
-	defer g.retryMu.Unlock()
-	now := time.Now()
-	for _, budget := range []*retry.Budget{g.retries, g.moves} {
-		budget.Success(now, fleet.TeamID(service), fleet.UpstreamID(service))
-	}
-}
-
 // pickPlain returns the server with the fewest requests of this VM, one of the
 // own data centre among equals. full says that servers exist and have no room.
 func (c *call) pickPlain(service *catalog.Service, avoid map[fleet.UpstreamID]bool) (best *plainServer, full bool) {
@@ -295,7 +281,6 @@
 	} else {
 		c.g.control.succeeded(s.id, time.Since(began))
 	}
-	c.g.earnRepeat(s.service)
 	platform.CopyReply(c.w.Header(), answer.Header)
 	large := len(body) > maxAnswer
 	if !large {
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -9,6 +9,8 @@
 
 	"github.com/cornelline/cornelline/pkg/chain"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/outlier"
+	"github.com/cornelline/cornelline/pkg/stall"
 )
 
 // errDraining ends a run on a chain with a server that is about to end, so that
@@ -18,30 +20,17 @@
 // errStalled ends a run whose chain makes no progress; another run may continue it.
 var errStalled = errors.New("chain makes no progress")
 
-const (
-	// suspectAfter is the time without an event after which the servers of a chain
-	// are probed. Steps take some tens of milliseconds; a chain under load pauses
-	// for prompts up to about the longest pause that is on time, 200 to 250 ms.
-	suspectAfter = 500 * time.Millisecond
-	// moveAfter is the time without an event after which a run is given up though
-	// no server of its chain was found dead. Callers leave after 2 s.
-	moveAfter = 1500 * time.Millisecond
-	// firstFactor multiplies both for the first event, before which a prompt may
-	// wait in the chain's batches.
-	firstFactor = 1.2
-)
-
 // run is one run of a generation on a chain.
 type run struct {
 	chain  *chain.Chain
 	cancel context.CancelCauseFunc
-	// lastEvent is the time of the last event in nanoseconds, of the start before
-	// the first one.
+	began  time.Time
+	// lastEvent is the time of the last event after began, in nanoseconds: 0 before the
+	// first one.
 	lastEvent atomic.Int64
 	events    atomic.Int64
-	// counted is the number of events at the last sweep; only the control goroutine uses it.
-	counted   int64
-	suspected time.Time
+	// watched is what the control goroutine knows of the run.
+	watched stall.Run
 	// movable is set when another run may take over.
 	movable bool
 	// generation is the request that it runs.
@@ -58,6 +47,28 @@
 // release it.
 var runEnded = new(chain.Chain)
 
+// newRun returns a run of a generation on a chain.
+func newRun(g *generation, c *chain.Chain) *run {
+	r := &run{chain: c, generation: g, began: time.Now()}
+	r.movable = g.route.Resumable && g.runs+1 < max(g.route.Attempts, 1)
+	r.watched = stall.Run{FirstEvent: c.FirstEvent, Gap: g.route.GapObjective, Last: r.began}
+	for _, stage := range c.Stages {
+		r.watched.Stages = append(r.watched.Stages, stage.Server)
+	}
+	return r
+}
+
+// last returns the time of the last event, of the start before the first one. It is on
+// the steady clock: the time of day may jump.
+func (r *run) last() time.Time { return r.began.Add(time.Duration(r.lastEvent.Load())) }
+
+// note books events that came now.
+func (r *run) note(now time.Time, events int) (first bool) {
+	first = r.events.Add(int64(events)) == int64(events)
+	r.lastEvent.Store(int64(now.Sub(r.began)))
+	return first
+}
+
 // end marks the run as ended and returns the chain that was reserved for the next one.
 func (r *run) end() *chain.Chain { return r.next.Swap(runEnded) }
 
@@ -95,46 +106,48 @@
 // still for too long, go on with another chain once one is reserved for them.
 func (c *control) sweep(now time.Time) {
 	runs := c.g.streams.all(nil)
-	for _, r := range runs {
-		if events := r.events.Load(); events > r.counted {
-			r.counted = events
-			for _, stage := range r.chain.Stages {
-				c.progress[stage.Server] = now
-			}
-		}
+	watched := make([]*stall.Run, len(runs))
+	for i, r := range runs {
+		r.watched.Last, r.watched.Events = r.last(), r.events.Load()
+		watched[i] = &r.watched
 	}
-	dead := c.g.view.Load().dead
+	c.stall.Observe(watched)
+	health := serverHealth{c.health, c.g.view.Load().dead}
 	ending := c.ending(now)
 	for _, r := range runs {
-		if r.movable && len(ending) > 0 && now.After(r.moveAt) && passesThrough(r, ending) {
-			r.moveAt = now.Add(movePause)
-			if r.generation.reserveNext(r, r.generation.mayMove) {
-				r.cancel(errDraining)
-				continue
-			}
-		}
-		last := time.Unix(0, r.lastEvent.Load())
-		still := now.Sub(last)
-		if r.events.Load() == 0 {
-			still = time.Duration(float64(still)/firstFactor) - r.chain.FirstEvent
-		}
-		if still < controlTick {
-			continue
+		why := error(nil)
+		switch {
+		case len(ending) > 0 && passesThrough(r, ending):
+			why = errDraining
+		case c.stall.Stalled(now, &r.watched, health):
+			why = errStalled
 		}
-		if r.movable && now.After(r.moveAt) && (still > moveAfter || onDead(r, dead)) {
+		if why != nil && r.movable && now.After(r.moveAt) {
 			r.moveAt = now.Add(movePause)
-			if r.generation.reserveNext(r, r.generation.mayResume) {
-				r.cancel(errStalled)
+			allowed := r.generation.mayResume
+			if why == errDraining {
+				allowed = r.generation.mayMove
+			}
+			if r.generation.reserveNext(r, allowed) {
+				r.cancel(why)
 				continue
 			}
 		}
-		if still > suspectAfter && now.Sub(r.suspected) > suspectAfter {
-			r.suspected = now
-			c.suspectStages(now, r, last)
+		for _, id := range c.stall.Suspects(now, &r.watched) {
+			c.act(now, c.health.Silent(now, id, nil))
 		}
 	}
 }
 
+// serverHealth is what stall asks of the servers.
+type serverHealth struct {
+	*outlier.Detector
+	dead map[fleet.UpstreamID]bool
+}
+
+// Dead reports whether a server was found dead.
+func (h serverHealth) Dead(id fleet.UpstreamID) bool { return h.dead[id] }
+
 // movePause is the time between two looks for another chain for the same run: some
 // of the generations that hold the memory end meanwhile.
 const movePause = 500 * time.Millisecond
@@ -147,7 +160,7 @@
 func (g *generation) mayResume() bool { return g.mayRepeat(g.service, "stalled") }
 
 // mayMove takes one send for a run that leaves a server.
-func (g *generation) mayMove() bool { return g.takeRepeat(g.g.moves, g.service, "draining") }
+func (g *generation) mayMove() bool { return g.takeRepeat(g.service, "draining", true) }
 
 // reserveNext reserves another chain for a run. Without one, or beyond the retry
 // budget, the run stays where it is: its chain may go on, and its server ends it
@@ -198,23 +211,3 @@
 	}
 	return false
 }
-
-// suspectStages probes the servers of a chain on which nothing made progress
-// since the chain's last event.
-func (c *control) suspectStages(now time.Time, r *run, last time.Time) {
-	for _, stage := range r.chain.Stages {
-		if progress, ok := c.progress[stage.Server]; ok && progress.After(last.Add(2*controlTick)) {
-			continue
-		}
-		c.act(now, c.health.Silent(now, stage.Server, nil))
-	}
-}
-
-func onDead(r *run, dead map[fleet.UpstreamID]bool) bool {
-	for _, stage := range r.chain.Stages {
-		if dead[stage.Server] {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -79,6 +79,10 @@
 		c.publishServices(now, v, members)
 	}
 	c.g.view.Store(v)
+	if v.catalog != nil && v.listed && !c.announced {
+		c.announced = true
+		close(c.g.known)
+	}
 }
 
 func (c *control) publishServices(now time.Time, v *view, members []roster.Upstream) {
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -258,6 +258,12 @@
 	return d.probe(now, u, why, out)
 }
 
+// Unanswered reports whether a probe of the upstream has waited for its answer for a time.
+func (d *Detector) Unanswered(now time.Time, id fleet.UpstreamID, age time.Duration) bool {
+	u := d.ups[id]
+	return u != nil && u.probing && now.Sub(u.probedAt) >= age
+}
+
 // Returning reports whether the upstream answered a probe after it was ejected, not long ago.
 func (d *Detector) Returning(id fleet.UpstreamID) bool {
 	u := d.ups[id]
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -33,6 +33,8 @@
 	Config uint64
 	// Promises are what the VM has promised to upstreams.
 	Promises []Promise
+	// Budgets are what the VM did within the last window of the retry budgets.
+	Budgets []BudgetUse
 	// Refused are fingerprints of the generations that the VM refused since its last
 	// news; their callers may come back to any VM.
 	Refused []uint64
@@ -50,6 +52,16 @@
 	Slow map[fleet.UpstreamID]float32
 }
 
+// BudgetUse is what a VM did within a window of a service's retry budget.
+type BudgetUse struct {
+	// Service is the hash of the service's identity.
+	Service uint32
+	Granted uint32
+	// Moves are the repeats among Granted for runs that could have stayed.
+	Moves    uint32
+	Requests uint32
+}
+
 // Held is what an engine reported of its layers.
 type Held struct {
 	Upstream fleet.UpstreamID
--- a/pkg/peering/timer.go
+++ b/pkg/peering/timer.go
@@ -12,6 +12,11 @@
 	fewVMs       = 32
 )
 
+// NewsInterval returns the mean interval of a VM's news in a fleet of vms.
+func NewsInterval(vms int) time.Duration {
+	return newsInterval * time.Duration(max(1, (vms+fewVMs-1)/fewVMs))
+}
+
 // NewsTimer says when a VM tells the others its news. Invariant: what many VMs learn at
 // the same moment does not bring their news into step. VMs in step would all choose
 // servers by the same old promises until the next round, and all choose the same.
@@ -30,8 +35,7 @@
 		return false
 	}
 	if regular {
-		mean := newsInterval * time.Duration(max(1, (vms+fewVMs-1)/fewVMs))
-		t.next = now.Add(time.Duration((0.5 + random) * float64(mean)))
+		t.next = now.Add(time.Duration((0.5 + random) * float64(NewsInterval(vms))))
 	}
 	t.extra = false
 	return true
