A deputy leads when no leader is heard; calls to the group hold up no orders

A deputy was chosen only while the store answered nobody, after its calls had timed out, and the loop that gives orders waited for these calls.

Change: the first VM by rank deputises when no VM was heard to lead for 1.5 s by one that hears most of the fleet; calls to the group run beside the orders; the group's leader passes a deputy's token once that one is no longer heard. TestAssign has the cases.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -64,6 +64,8 @@
 	// last failed.
 	reachedAt time.Time
 	failedAt  time.Time
+	// leaderHeard is when a VM was last known to lead.
+	leaderHeard time.Time
 	// fetchingList is set while the list is on its way from another VM.
 	fetchingList bool
 	// storeAway is the opposite of storeUp, for other goroutines.
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -35,8 +35,6 @@
 	// askInterval is the interval at which the leader asks all engines for their
 	// state. Reports are priced; a slow engine holds up all chains through it.
 	askInterval = time.Second
-	// deputyAfter is how long the store must be away before a deputy leads.
-	deputyAfter = 600 * time.Millisecond
 	// lostAfter is how long an engine must be dead before its layers are placed
 	// anew though its entry still stands.
 	lostAfter = 800 * time.Millisecond
@@ -58,6 +56,11 @@
 	// generation is that of the group, which orders the holders of the partition.
 	generation uint64
 	holds      bool
+	// touched is set once the group's topic exists, renewing while a call to the group is
+	// open; renewals has its outcome.
+	touched  bool
+	renewing bool
+	renewals chan renewal
 	// until is when the membership ends unless it is renewed, on this VM's clock.
 	until time.Time
 	// acting is set while this VM leads as deputy; storeBack is when the store
@@ -103,9 +106,16 @@
 			ID: id, Heard: p.heard, Away: p.StoreAway, Reached: p.StoreReached, Watching: p.Watching, Leading: p.Leading, Stopping: p.Stopping,
 		})
 	}
-	self := storewatch.Self{ID: c.g.settings.Self.ID, Away: !c.storeUp, Stopping: c.g.stopper.stopping()}
-	d := storewatch.Assign(now, self, peers)
-	d.MayDeputise = d.MayDeputise && now.Sub(c.storeBad) >= deputyAfter
+	if c.g.leading.Load() || c.leaderHeard.IsZero() {
+		c.leaderHeard = now
+	}
+	d := storewatch.Assign(now, storewatch.Self{
+		ID: c.g.settings.Self.ID, Away: !c.storeUp, AwaySince: c.storeBad, Stopping: c.g.stopper.stopping(),
+		LeaderHeard: c.leaderHeard, VMs: c.g.view.Load().vms,
+	}, peers)
+	if d.OtherLeads {
+		c.leaderHeard = now
+	}
 	c.g.duty.Store(&d)
 }
 
@@ -113,9 +123,8 @@
 func (g *Gateway) lead(ctx context.Context) {
 	l := &leader{
 		g: g, orders: make(map[fleet.UpstreamID]*placed), deadSince: make(map[fleet.UpstreamID]time.Time),
-		lackSince: make(map[fleet.DataCentreID]time.Time),
+		lackSince: make(map[fleet.DataCentreID]time.Time), renewals: make(chan renewal, 1),
 	}
-	touched := false
 	var renewAt time.Time
 	for pause(ctx, orderInterval) {
 		if g.stopper.stopping() {
@@ -126,11 +135,17 @@
 		if v := g.view.Load(); v.catalog == nil || len(v.gates) == 0 {
 			continue
 		}
-		if now := time.Now(); !now.Before(renewAt) && (l.holds || g.duty.Load().Candidate) {
+		select {
+		case r := <-l.renewals:
+			l.renewed(r)
+		default:
+		}
+		if now := time.Now(); !now.Before(renewAt) && !l.renewing && (l.holds || g.duty.Load().Candidate) {
 			renewAt = now.Add(leadRenew)
-			l.renew(ctx, &touched)
+			l.renew(ctx)
 		}
 		l.deputise()
+		l.passFence()
 		active := (l.holds && time.Now().Before(l.until) || l.acting) && l.fence > l.fenced
 		g.leading.Store(active)
 		if active {
@@ -160,41 +175,72 @@
 		l.fence = l.g.token.Load() + 1
 		l.g.seeToken(l.fence)
 		l.forget()
-		l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fence).Str("reason", "deputy while the store is away").Send()
+		l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fence).Bool("store_away", !l.g.control.storeIsUp()).Str("reason", "deputy: no leader is heard").Send()
 	}
 }
 
-// renew joins the group or stays in it.
-func (l *leader) renew(ctx context.Context, touched *bool) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if !*touched {
-		if err := l.g.store.Touch(ctx, platform.LeadTopic); err != nil {
-			l.g.control.storeFailed("touch", err)
-			return
-		}
-		*touched = true
+// passFence gives the group's leader a token above that of a deputy that has led
+// meanwhile and is not heard to lead any more.
+func (l *leader) passFence() {
+	if d := l.g.duty.Load(); !l.holds || l.fence > l.fenced || d.OtherLeads || !d.Most {
+		return
 	}
-	began := time.Now()
-	ttl := max(leadTTL, l.g.settings.Store.MinMemberTTL)
-	m, err := l.g.store.Join(ctx, leadGroup, l.g.settings.Self.ID, ttl, l.generation)
-	if err != nil {
+	l.fence = max(l.g.token.Load(), l.fenced) + 1
+	l.g.seeToken(l.fence)
+	l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fence).Str("reason", "no other leads any more").Send()
+}
+
+// renewal is the outcome of a call that joins the group or stays in it.
+type renewal struct {
+	began time.Time
+	call  string
+	got   platform.Membership
+	err   error
+}
+
+// renew joins the group or stays in it. The call is made beside the orders, which a
+// silent store must not hold up; its outcome is taken by renewed.
+func (l *leader) renew(ctx context.Context) {
+	generation, touch := l.generation, !l.touched
+	l.renewing = true
+	l.g.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		r := renewal{began: time.Now(), call: "touch"}
+		if touch {
+			r.err = l.g.store.Touch(ctx, platform.LeadTopic)
+		}
+		if r.err == nil {
+			r.call = "join"
+			r.got, r.err = l.g.store.Join(ctx, leadGroup, l.g.settings.Self.ID, l.ttl(), generation)
+		}
+		l.renewals <- r
+	})
+}
+
+func (l *leader) ttl() time.Duration { return max(leadTTL, l.g.settings.Store.MinMemberTTL) }
+
+// renewed takes in the outcome of a call.
+func (l *leader) renewed(r renewal) {
+	l.renewing = false
+	l.touched = l.touched || r.call != "touch"
+	if r.err != nil {
 		// While the store is away nobody can take over: the leader goes on, and the
 		// fencing token stops it if the store only refuses this VM.
 		if l.holds {
-			l.until = time.Now().Add(ttl)
+			l.until = time.Now().Add(l.ttl())
 		}
-		l.g.control.storeFailed("join", err)
+		l.g.control.storeFailed(r.call, r.err)
 		return
 	}
 	held := l.holds
-	l.generation, l.holds = m.Generation, false
-	for _, p := range m.Partitions {
+	l.generation, l.holds = r.got.Generation, false
+	for _, p := range r.got.Partitions {
 		l.holds = l.holds || p == leadPartition
 	}
-	l.until = began.Add(ttl)
+	l.until = r.began.Add(l.ttl())
 	if l.holds {
-		l.fence = l.generation << tokenShift
+		l.fence = max(l.fence, l.generation<<tokenShift)
 		l.g.seeToken(l.fence)
 	}
 	if l.holds != held {
--- a/pkg/stall/stall_test.go
+++ b/pkg/stall/stall_test.go
@@ -67,7 +67,9 @@
 	return false
 }
 
-func (w *world) frozen(now time.Time) bool { return !now.Before(w.frozenFrom) && now.Before(w.frozenTo) }
+func (w *world) frozen(now time.Time) bool {
+	return !now.Before(w.frozenFrom) && now.Before(w.frozenTo)
+}
 
 func (w *world) play(length time.Duration) {
 	for now := start; now.Before(start.Add(length)); now = now.Add(tick) {
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -54,11 +54,26 @@
 // calls of the candidates come each second.
 const ReachedFor = 2500 * time.Millisecond
 
+// LeaderSilence is how long no VM must have been heard to lead before a deputy does: the
+// group finds out only seconds after the leader's end, and may give the lead to a VM that
+// the store does not answer.
+const LeaderSilence = 1500 * time.Millisecond
+
+// awayBefore is the same while the store answers nobody who is heard: then the group can
+// name no leader.
+const awayBefore = 600 * time.Millisecond
+
 // Self is the own VM's state.
 type Self struct {
-	ID       fleet.VMID
-	Away     bool
-	Stopping bool
+	ID fleet.VMID
+	// Away is set while its own calls to the store fail, since AwaySince.
+	Away      bool
+	AwaySince time.Time
+	Stopping  bool
+	// LeaderHeard is when a VM, this one included, was last known to lead.
+	LeaderHeard time.Time
+	// VMs is the number of live VMs by membership, this one included.
+	VMs int
 }
 
 // Duty says what a VM does at the store.
@@ -76,8 +91,12 @@
 	OthersTry bool
 	// OtherLeads: another VM gives orders to engines.
 	OtherLeads bool
-	// MayDeputise: nobody who is heard leads, reaches the store or comes before this VM.
+	// MayDeputise: this VM is to give orders to engines though the group does not say so.
+	// Nobody who is heard leads or comes before it, and either the store has answered
+	// nobody of late, or no leader was heard for a while by most of the VMs.
 	MayDeputise bool
+	// Most: this VM hears most of the live VMs.
+	Most bool
 }
 
 // Rank orders the VMs.
@@ -87,39 +106,38 @@
 func Assign(now time.Time, self Self, peers []Peer) Duty {
 	own := Rank(self.ID)
 	before, sound := 0, 0 // VMs before this one, and those of them that are not away
-	watching, answered := false, false
-	d := Duty{MayDeputise: self.Away}
+	watching := false
+	d := Duty{}
+	heard, first, reached := 1, !self.Stopping, false
 	for _, p := range peers {
 		if now.Sub(p.Heard) > Fresh {
 			continue
 		}
+		heard++
 		d.OtherLeads = d.OtherLeads || p.Leading
-		if p.Leading {
-			d.MayDeputise = false
-		}
 		if p.Stopping {
 			continue
 		}
 		watching = watching || p.Watching
-		if p.Reached && !p.Away {
-			answered = true
-			d.MayDeputise = false
-		}
+		reached = reached || p.Reached && !p.Away
 		if Rank(p.ID) > own {
 			continue
 		}
 		before++
+		first = false
 		if !p.Away {
 			sound++
-		} else {
-			d.MayDeputise = false
 		}
 	}
 	d.ReadsList = !self.Away && !self.Stopping && sound == 0
 	d.Candidate = sound < Candidates
 	d.First = before < Watchers
 	d.Watches = sound < Watchers || !watching
-	d.OthersTry = watching && !answered && !d.First
+	d.OthersTry = watching && !reached && !d.First
+	d.Most = 2*heard > self.VMs
+	storeless := self.Away && !reached && now.Sub(self.AwaySince) >= awayBefore
+	leaderless := d.Most && now.Sub(self.LeaderHeard) >= LeaderSilence
+	d.MayDeputise = first && !d.OtherLeads && (storeless || leaderless)
 	return d
 }
 
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -133,7 +133,7 @@
 func TestAssign(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1e9, 0)
-	self := storewatch.Self{ID: "v"}
+	self := storewatch.Self{ID: "v", LeaderHeard: now}
 	alone := storewatch.Assign(now, self, nil)
 	is.True(alone.ReadsList && alone.Watches && alone.Candidate && alone.First && !alone.OthersTry && !alone.MayDeputise)
 
@@ -162,7 +162,8 @@
 	}
 	d = storewatch.Assign(now, self, away(before))
 	is.True(d.Watches && d.ReadsList && d.OthersTry)
-	selfAway := storewatch.Self{ID: "v", Away: true}
+	long := now.Add(-time.Minute)
+	selfAway := storewatch.Self{ID: "v", Away: true, AwaySince: long, LeaderHeard: now, VMs: 3}
 	is.True(!storewatch.Assign(now, selfAway, away(before)).MayDeputise) // another one comes first
 	is.True(storewatch.Assign(now, selfAway, away(after)).MayDeputise)
 	is.True(!storewatch.Assign(now, selfAway, after).MayDeputise) // the store answers another one
@@ -178,4 +179,14 @@
 	is.True(d.OtherLeads && !d.MayDeputise)
 	leads[0].Stopping = true // it still leads until it says otherwise
 	is.True(!storewatch.Assign(now, selfAway, leads).MayDeputise)
+
+	// A leader ends and the group does not name another one, though the store answers.
+	silent := storewatch.Self{ID: "v", LeaderHeard: long, VMs: 3}
+	is.True(storewatch.Assign(now, silent, after).MayDeputise)
+	is.True(!storewatch.Assign(now, silent, before).MayDeputise)
+	is.True(!storewatch.Assign(now, storewatch.Self{ID: "v", LeaderHeard: now.Add(-time.Second), VMs: 3}, after).MayDeputise)
+	is.True(!storewatch.Assign(now, silent, nil).MayDeputise) // cut off from the others
+	stopping := silent
+	stopping.Stopping = true
+	is.True(!storewatch.Assign(now, stopping, after).MayDeputise)
 }
