An engine that answers all generations with an error draws no requests

It failed at once, so it always had room and was the cheapest; generations passed the failure on and booked none against the engine.

Change: a 5xx of an engine counts as its failure, a first event as its success, and a resumable generation goes on with another chain. TestEngineThatFailsAtOnceDrawsNoRequests fails without it (500 to the caller).

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -316,6 +316,37 @@
 	checkStream(t, got.body, 1, 20)
 }
 
+// TestEngineThatFailsAtOnceDrawsNoRequests: load pattern of servers whose health answers
+// are good while they answer all requests with an error. One took 1,376 of a day's 1,638
+// generations in five seconds, because it always had room. Callers get their answers from
+// another chain, and the engine is left alone after a few requests.
+func TestEngineThatFailsAtOnceDrawsNoRequests(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	d.eventually("layers are placed", func() bool { return d.generates("g" + strconv.Itoa(time.Now().Nanosecond())) })
+	copies := 0
+	for _, e := range d.engines {
+		if first, end := e.Layers(); first == 0 && end > 0 {
+			copies++
+			if copies == 1 {
+				e.SetFailing(true)
+			}
+		}
+	}
+	is.True(copies > 1)
+	repeated := 0
+	for i := range 30 {
+		id := fmt.Sprintf("f%d", i)
+		got := d.ask(http.MethodPost, "/gen/x", id, "k", "prompt")
+		is.Equal(got.status, http.StatusOK)
+		checkStream(t, got.body, 1, 20)
+		repeated += d.runs.Of(id) - 1
+	}
+	is.True(repeated <= 6)
+}
+
 // TestDrainingEngineDuringAStoreOutage: an engine that refuses everything while the
 // store is away gets no more work, and another takes its layers.
 func TestDrainingEngineDuringAStoreOutage(t *testing.T) {
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -312,7 +312,7 @@
 		return notRun, errRefused
 	}
 	if answer.Status != http.StatusOK {
-		return g.passFailure(answer, reply)
+		return g.passFailure(first.Server, answer, reply)
 	}
 	if !reply.Signed || reply.Encoded {
 		g.g.control.failed(first.Server)
@@ -370,11 +370,21 @@
 	g.g.control.refusedPart(id)
 }
 
-// passFailure gives a failure of the engine to the caller.
-func (g *generation) passFailure(answer *exchange.Answer, reply platform.Reply) (outcome, error) {
+// passFailure gives a failure of the engine to the caller, unless another chain may run
+// the request. An engine that fails at once always has room: without a verdict on it all
+// requests would go there.
+func (g *generation) passFailure(first fleet.UpstreamID, answer *exchange.Answer, reply platform.Reply) (outcome, error) {
 	if promises(answer.Status) || g.begun {
 		return unknown, errNoPromise
 	}
+	if answer.Status >= http.StatusInternalServerError {
+		g.g.stats.Count("upstream_errors")
+		g.g.control.failed(first)
+		if g.route.Resumable && g.runs+1 < max(g.route.Attempts, 1) && g.left() >= leastGeneration {
+			g.avoid[first] = true
+			return unknown, errServerFailed
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
 	if err != nil {
 		return unknown, err
@@ -402,6 +412,7 @@
 				now := time.Now()
 				if r.note(now, events) {
 					g.gate.served(r.chain, r.began)
+					g.g.control.succeeded(r.chain.Stages[0].Server, now.Sub(r.began))
 				}
 				g.forward(now, answer, whole)
 			} else if g.begun && len(whole) > 0 { // comments
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -147,6 +147,9 @@
 	draining bool
 	// breakAfter ends the next stream after so many events; 0 for none.
 	breakAfter int
+	// failing answers each generation with an error of the engine's own, though its
+	// reports are good.
+	failing bool
 }
 
 // Entry returns the engine's entry in the store.
@@ -174,6 +177,13 @@
 	e.draining = true
 }
 
+// SetFailing makes the engine answer generations with an error, or no longer does.
+func (e *Engine) SetFailing(failing bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failing = failing
+}
+
 // BreakAfter ends the next stream within the event after n events.
 func (e *Engine) BreakAfter(n int) {
 	e.mu.Lock()
@@ -297,9 +307,13 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.mu.Lock()
-	breakAfter := e.breakAfter
+	breakAfter, failing := e.breakAfter, e.failing
 	e.breakAfter = 0
 	e.mu.Unlock()
+	if failing {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	for n := last + 1; n <= e.Events; n++ {
 		if breakAfter > 0 && n > last+breakAfter {
 			fmt.Fprintf(w, "id: %d\nda", n)
