A panic ends one event, message or request; slow callers are bounded; loads of plain servers are given back

Causes found by reading: the gateway had no recover, so that a panic in any task, message or control event ended the process and all streams on it; an answer over 1 MB that broke off left its server counted as busy for ever on that VM (two of them take a server of a plain service out of use there), a run that ended by a panic kept its promises; a caller that sent half a body and then nothing, or read nothing, held its request without bound.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -13,6 +13,7 @@
 	LinesDropped     ID = 107
 	Reloaded         ID = 108
 	LinesSuppressed  ID = 109
+	TaskPanicked     ID = 110
 )
 
 // Request events.
@@ -100,6 +101,7 @@
 	LinesDropped:     {"lines_dropped", zerolog.WarnLevel},
 	Reloaded:         {"settings_reloaded", zerolog.InfoLevel},
 	LinesSuppressed:  {"lines_suppressed", zerolog.WarnLevel},
+	TaskPanicked:     {"task_panicked", zerolog.ErrorLevel},
 	ConfigInForce:    {"config_in_force", zerolog.InfoLevel},
 	ConfigRejected:   {"config_rejected", zerolog.ErrorLevel},
 	EntryRejected:    {"upstream_entry_rejected", zerolog.WarnLevel},
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -81,6 +81,7 @@
 	default:
 		c.plain(service)
 	}
+	c.unboundCaller()
 }
 
 // errDue is the cause of a context that ended because the answer was due.
@@ -146,9 +147,33 @@
 	if c.route.Timeout > 0 && c.arrived.Add(c.route.Timeout).Before(c.due) {
 		c.due = c.arrived.Add(c.route.Timeout)
 	}
+	c.boundCaller()
 	return c.readBody(cat.Limits.BodyBytes)
 }
 
+// callerMargin is how much longer than its answer is due a caller may take to send its
+// body or to take its answer, before its connection is given up.
+const callerMargin = time.Second
+
+// boundCaller bounds how long a slow caller can hold this request's goroutine, memory and
+// engine. The connection's next request sets its own bounds.
+func (c *call) boundCaller() {
+	until := c.due.Add(callerMargin)
+	control := http.NewResponseController(c.w)
+	// A connection without deadlines is one of a test without a network.
+	_ = control.SetReadDeadline(until)
+	_ = control.SetWriteDeadline(until)
+}
+
+// unboundCaller lets the connection wait for the next request. After a request whose body
+// was not read or whose answer broke off the bounds stay: the rest of the body is read
+// before the connection is closed.
+func (c *call) unboundCaller() {
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(time.Time{})
+	_ = control.SetWriteDeadline(time.Time{})
+}
+
 const (
 	// startHold is the age up to which a VM holds requests while it does not know the
 	// configuration or the upstreams yet. It learns both within a second unless the store
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -157,12 +157,12 @@
 			return
 		case f := <-c.events:
 			now := time.Now()
-			f(now)
+			c.handle(now, f)
 			for range len(c.events) { // one publication for all that waits
-				(<-c.events)(now)
+				c.handle(now, <-c.events)
 			}
 		case <-ticker.C:
-			c.tick(time.Now())
+			c.handle(time.Now(), c.tick)
 		}
 		if c.dirty {
 			died := len(c.g.view.Load().dead)
@@ -174,6 +174,12 @@
 	}
 }
 
+// handle runs one event. The state goes on after a panic: it is made of beliefs that the
+// next news replaces, and a new process would cost all streams that this one carries.
+func (c *control) handle(now time.Time, f func(time.Time)) {
+	c.g.guard("control event", func() { f(now) })
+}
+
 func (c *control) tick(now time.Time) {
 	c.upstreamsChanged(now, c.roster.Tick(now, nil))
 	c.act(now, c.health.Tick(now, nil))
@@ -445,7 +451,7 @@
 		return
 	}
 	c.g.stats.Count("probes")
-	c.g.tasks.Go(func() {
+	c.g.spawn("probe", func() {
 		ctx, cancel := context.WithTimeout(c.g.running, probeTimeout)
 		defer cancel()
 		if service.Engine == nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -103,6 +103,7 @@
 	traffic atomic.Bool
 
 	crashes *crashes
+	panics  panics
 	returns *returns
 
 	budgets *budgets
@@ -179,7 +180,7 @@
 	// which the platform does not show.
 	endpoint := &url.URL{Scheme: "http", Host: address}
 	s := khttp.NewServer(khttp.Listener(listener), khttp.Endpoint(endpoint), khttp.Timeout(0),
-		khttp.Filter(func(http.Handler) http.Handler { return handler }))
+		khttp.Filter(func(http.Handler) http.Handler { return g.protect(handler) }))
 	s.ReadHeaderTimeout = headTimeout
 	s.IdleTimeout = idleTimeout
 	s.MaxHeaderBytes = maxHeaderBytes
@@ -222,10 +223,10 @@
 			}
 		})
 	}
-	g.tasks.Go(func() { g.control.run(g.running) })
-	g.tasks.Go(func() { g.followConfig(g.running) })
-	g.tasks.Go(func() { g.followUpstreams(g.running) })
-	g.tasks.Go(func() { g.lead(g.running) })
+	g.keepRunning(g.running, "control", g.control.run)
+	g.keepRunning(g.running, "configuration", g.followConfig)
+	g.keepRunning(g.running, "upstreams", g.followUpstreams)
+	g.keepRunning(g.running, "lead", g.lead)
 	var err error
 	select {
 	case <-ctx.Done():
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -155,7 +155,6 @@
 func (g *generation) serve(c *chain.Chain) {
 	for {
 		got, next, why := g.run(c)
-		g.gate.release(g.request, c)
 		if next != nil && got != unknown { // the run ended before it could be moved
 			g.gate.release(g.request, next)
 			next = nil
@@ -284,6 +283,7 @@
 // run runs the generation on one chain. It also returns the chain that was reserved
 // when the run was ended for another one.
 func (g *generation) run(c *chain.Chain) (outcome, *chain.Chain, error) {
+	defer g.gate.release(g.request, c) // also when the run ends by a panic
 	r := newRun(g, c)
 	got, why := g.runOn(r)
 	return got, r.end(), why
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -203,7 +203,7 @@
 func (l *leader) renew(ctx context.Context) {
 	generation, touch := l.generation, !l.touched
 	l.renewing = true
-	l.g.tasks.Go(func() {
+	l.g.spawn("group call", func() {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		r := renewal{began: time.Now(), call: "touch"}
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -91,7 +91,7 @@
 		if v.gates[u.Service] == nil || v.dead[u.ID] {
 			continue
 		}
-		l.g.tasks.Go(func() {
+		l.g.spawn("order", func() {
 			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 			defer cancel()
 			report, err := l.g.servers.RegularReport(ctx, u.Address)
@@ -199,7 +199,7 @@
 	l.orders[u.ID] = p
 	l.mu.Unlock()
 	fence := l.fence
-	l.g.tasks.Go(func() {
+	l.g.spawn("order", func() {
 		ctx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
 		defer cancel()
 		report, err := l.g.servers.Report(ctx, u.Address)
@@ -240,7 +240,7 @@
 	if !l.g.trafficSeen() {
 		return
 	}
-	l.g.tasks.Go(func() {
+	l.g.spawn("order", func() {
 		if !pause(l.g.running, load+watchMargin) {
 			return
 		}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -26,6 +26,9 @@
 // errUnknownMessage is returned to a peer for a request that this VM does not know.
 var errUnknownMessage = errors.New("unknown message")
 
+// errPanicked is returned to a peer whose request this VM could not handle.
+var errPanicked = errors.New("request could not be handled")
+
 // peerState is what another VM last said.
 type peerState struct {
 	peering.State
@@ -46,6 +49,10 @@
 
 // receive hands a peer's message to the control goroutine.
 func (g *Gateway) receive(_ wire.Peer, m wire.Message) {
+	g.guard("peer message", func() { g.dispatch(m) })
+}
+
+func (g *Gateway) dispatch(m wire.Message) {
 	if crash, ok := m.(*peering.Crash); ok {
 		g.crashes.add(time.Now(), fingerprint(crash.Request), crash.Upstream)
 		return
@@ -64,7 +71,14 @@
 }
 
 // respond answers a peer's request.
-func (g *Gateway) respond(ctx context.Context, _ wire.Peer, m wire.Message) (wire.Message, error) {
+func (g *Gateway) respond(ctx context.Context, _ wire.Peer, m wire.Message) (answer wire.Message, err error) {
+	if !g.guard("peer call", func() { answer, err = g.answer(ctx, m) }) {
+		return nil, errPanicked
+	}
+	return answer, err
+}
+
+func (g *Gateway) answer(ctx context.Context, m wire.Message) (wire.Message, error) {
 	if _, ok := m.(*peering.ListWant); ok {
 		return g.offerList(ctx)
 	}
@@ -72,16 +86,16 @@
 	if !ok {
 		return nil, errUnknownMessage
 	}
-	answer := make(chan []byte, 1)
+	offer := make(chan []byte, 1)
 	g.control.post(func(time.Time) {
 		if g.control.catalog != nil && g.control.catalog.Version > want.Version {
-			answer <- g.control.config
+			offer <- g.control.config
 			return
 		}
-		answer <- nil
+		offer <- nil
 	})
 	select {
-	case data := <-answer:
+	case data := <-offer:
 		return &peering.ConfigOffer{Data: data}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
@@ -283,7 +297,7 @@
 	if c.catalog != nil {
 		want.Version = c.catalog.Version
 	}
-	c.g.tasks.Go(func() {
+	c.g.spawn("fetch", func() {
 		ctx, cancel := context.WithTimeout(c.g.running, fetchTimeout)
 		defer cancel()
 		answer, err := c.g.peers.Call(ctx, address, want)
@@ -305,7 +319,7 @@
 		return
 	}
 	c.fetchingList = true
-	c.g.tasks.Go(func() {
+	c.g.spawn("fetch", func() {
 		ctx, cancel := context.WithTimeout(c.g.running, fetchTimeout)
 		defer cancel()
 		answer, err := c.g.peers.Call(ctx, address, &peering.ListWant{})
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -66,9 +66,7 @@
 			c.plainRefused(full)
 			return
 		}
-		s.load.running.Add(1)
-		got, why := c.sendPlain(s)
-		s.load.running.Add(-1)
+		got, why := c.tryPlain(s)
 		avoid[s.id] = true
 		switch got {
 		case answered:
@@ -91,6 +89,14 @@
 	}
 }
 
+// tryPlain sends the request to one server and counts it there meanwhile, also when the
+// caller's connection is broken off by a panic.
+func (c *call) tryPlain(s *plainServer) (outcome, error) {
+	s.load.running.Add(1)
+	defer s.load.running.Add(-1)
+	return c.sendPlain(s)
+}
+
 func (c *call) plainRefused(full bool) {
 	switch {
 	case c.sends > 0:
--- a/pkg/gateway/start_test.go
+++ b/pkg/gateway/start_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -35,3 +38,25 @@
 	is.Equal(late.ask(http.MethodPost, "/book/1", "later", "k", "x").status, http.StatusServiceUnavailable)
 	is.True(time.Since(began) < time.Second) // not held any more
 }
+
+// TestSlowBodyIsGivenUp: a caller that sends half of its request's body and then nothing
+// must not hold the VM beyond its own deadline.
+func TestSlowBodyIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	d.eventually("served", func() bool { return d.ask(http.MethodGet, "/look/1", "l", "k", "").status == http.StatusOK })
+	c, err := net.Dial("tcp", d.settings.Self.Address)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: slow\r\nAuthorization: Bearer k\r\n"+
+		"Deadline-Milliseconds: 300\r\nContent-Length: 10\r\n\r\nhalf")
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	answer, err := io.ReadAll(c) // ends when the VM closes
+	if err != nil {
+		t.Fatalf("%v after %q\n%s", err, answer, d.log.String())
+	}
+	is.Equal(d.runs.Of("slow"), 0)
+}
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -142,13 +142,18 @@
 	return prefixSize + len(body), err
 }
 
-// Decode parses a message's payload.
-func Decode(kind Kind, payload []byte) (Message, error) {
+// Decode parses a message's payload. Whatever the payload does to the decoder is an error.
+func Decode(kind Kind, payload []byte) (m Message, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			m, err = nil, fmt.Errorf("%w: kind %d: %v", ErrMalformedFrame, kind, p)
+		}
+	}()
 	t, ok := messageTypes[kind]
 	if !ok {
 		return nil, fmt.Errorf("%w: unknown kind %d", ErrMalformedFrame, kind)
 	}
-	m := reflect.New(t).Interface()
+	m = reflect.New(t).Interface()
 	if err := msgpack.Unmarshal(payload, m); err != nil {
 		return nil, fmt.Errorf("%w: %T: %w", ErrMalformedFrame, m, err)
 	}
