--- a/pkg/gateway/guard_test.go
+++ b/pkg/gateway/guard_test.go
@@ -45,8 +45,7 @@
 
 	server := httptest.NewServer(g.protect(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/bad" {
-			var missing map[string]int
-			missing["x"]++
+			panic("unexpected")
 		}
 		if r.URL.Path == "/broken" {
 			panic(http.ErrAbortHandler)
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -21,8 +21,6 @@
 	// Burst bounds the saved retries. The loss of a data centre breaks most
 	// generations of a VM at once, so it covers a VM's share of the batch slots.
 	Burst float64
-	// Empty is set when new budgets have nothing saved; otherwise they have Burst.
-	Empty bool
 }
 
 // DefaultConfig returns the documented defaults.
@@ -43,26 +41,13 @@
 	upstreams map[fleet.UpstreamID]*bucket
 }
 
-// New returns budgets, with full buckets unless the configuration says otherwise.
+// New returns budgets with full buckets.
 func New(cfg Config) *Budget {
 	return &Budget{cfg: cfg, teams: make(map[fleet.TeamID]*bucket), upstreams: make(map[fleet.UpstreamID]*bucket)}
 }
 
-// SetConfig replaces the limits and keeps what is saved. Budgets that began empty are
-// full from the configuration on that no longer says so.
-func (b *Budget) SetConfig(cfg Config) {
-	full := b.cfg.Empty && !cfg.Empty
-	b.cfg = cfg
-	if !full {
-		return
-	}
-	for _, k := range b.teams {
-		k.tokens = cfg.Burst
-	}
-	for _, k := range b.upstreams {
-		k.tokens = cfg.Burst
-	}
-}
+// SetConfig replaces the limits and keeps what is saved.
+func (b *Budget) SetConfig(cfg Config) { b.cfg = cfg }
 
 // Success books a success of the team on the upstream.
 func (b *Budget) Success(now time.Time, team fleet.TeamID, up fleet.UpstreamID) {
@@ -104,10 +89,7 @@
 func bucketOf[K comparable](b *Budget, m map[K]*bucket, key K, now time.Time) *bucket {
 	k := m[key]
 	if k == nil {
-		k = &bucket{at: now}
-		if !b.cfg.Empty {
-			k.tokens = b.cfg.Burst
-		}
+		k = &bucket{at: now, tokens: b.cfg.Burst}
 		m[key] = k
 		return k
 	}
--- a/pkg/retry/shared_test.go
+++ b/pkg/retry/shared_test.go
@@ -29,19 +29,18 @@
 // playedFleet plays VMs in virtual time that tell each other their use in each round of
 // news, with the round after that as the latest time of arrival.
 type playedFleet struct {
-	shared    retry.Shared
-	vms       []*fleetVM
-	random    *rand.Rand
-	now       time.Time
-	news      time.Duration
-	first     bool
-	requests  func(vm int) int
-	wants     func(vm int) int // repeats that the VM would make in a tick
-	hears     func(vm, other int) bool
-	granted   []int // of each VM
-	perTick   []float64
-	asked     []float64
-	firstTick time.Time
+	shared   retry.Shared
+	vms      []*fleetVM
+	random   *rand.Rand
+	now      time.Time
+	news     time.Duration
+	first    bool
+	requests func(vm int) int
+	wants    func(vm int) int // repeats that the VM would make in a tick
+	hears    func(vm, other int) bool
+	granted  []int // of each VM
+	perTick  []float64
+	asked    []float64
 }
 
 func playFleet(shared retry.Shared, vms int, news time.Duration) *playedFleet {
