Nearly full chains do not cross data centres; engines with ranges of their own can be ejected

The cost of little room reached more than the 5 s that a hop between data centres counts, so that chains crossed although there was room.

Changes: a hop between data centres counts more than all that sharing adds; the cap counts a model's engines, and the last way is spared as before; the duty at the store is found each 200 ms, not each 50 ms. The test tries each engine.

--- a/pkg/chain/search.go
+++ b/pkg/chain/search.go
@@ -14,9 +14,9 @@
 	hopTime   = 250 * time.Microsecond
 	crossTime = 700 * time.Microsecond
 	// crossPenalty is added for a hop between data centres, whose pipe all chains
-	// share: it exceeds the time of a generation, so that such a chain is taken when
-	// the local ones are full.
-	crossPenalty = 5 * time.Second
+	// share: it exceeds the time of a generation and all that the sharing of room adds
+	// on 32 servers, so that such a chain is taken when the others are full.
+	crossPenalty = 10 * time.Minute
 	// gapShare is the part of the longest pause between events that a chain may be
 	// expected to need; the rest is for prompts that are read between the steps.
 	gapShare = 0.7
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -62,8 +62,9 @@
 	storeBad time.Time // the begin of the last outage
 	// reachedAt is when the store last answered a call of this VM, failedAt when one
 	// last failed.
-	reachedAt time.Time
-	failedAt  time.Time
+	reachedAt  time.Time
+	failedAt   time.Time
+	assignedAt time.Time
 	// leaderHeard is when a VM was last known to lead.
 	leaderHeard time.Time
 	// fetchingList is set while the list is on its way from another VM.
@@ -125,6 +126,7 @@
 	c.Ramp = 2 * time.Second
 	c.ProbeTimeout = probeTimeout
 	c.LatencyFactor = 1e9
+	c.CapByModel = true
 	c.Phase = phase
 	if vms > probingVMs {
 		c.Reprobe = c.BaseEjection * time.Duration(vms) / probingVMs
@@ -180,13 +182,20 @@
 	c.g.guard("control event", func() { f(now) })
 }
 
+// dutyInterval is the interval at which this VM's duty at the store is found anew: news of
+// the others comes about as often.
+const dutyInterval = 200 * time.Millisecond
+
 func (c *control) tick(now time.Time) {
 	c.upstreamsChanged(now, c.roster.Tick(now, nil))
 	c.act(now, c.health.Tick(now, nil))
 	c.send(c.members.Tick(now))
 	c.endRefusals(now)
 	c.sweep(now)
-	c.assignDuty(now)
+	if now.Sub(c.assignedAt) >= dutyInterval {
+		c.assignedAt = now
+		c.assignDuty(now)
+	}
 	c.tellPeers(now)
 	c.forgetPeers(now)
 	c.shareOthers()
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -326,25 +326,29 @@
 	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
 	d.start()
 	d.eventually("layers are placed", func() bool { return d.generates("g" + strconv.Itoa(time.Now().Nanosecond())) })
-	copies := 0
+	var firsts []*userplatform.Engine
 	for _, e := range d.engines {
 		if first, end := e.Layers(); first == 0 && end > 0 {
-			copies++
-			if copies == 1 {
-				e.SetFailing(true)
-			}
+			firsts = append(firsts, e)
 		}
 	}
-	is.True(copies > 1)
-	repeated := 0
-	for i := range 30 {
-		id := fmt.Sprintf("f%d", i)
-		got := d.ask(http.MethodPost, "/gen/x", id, "k", "prompt")
-		is.Equal(got.status, http.StatusOK)
-		checkStream(t, got.body, 1, 20)
-		repeated += d.runs.Of(id) - 1
+	is.True(len(firsts) > 1)
+	for n, failing := range firsts { // each in turn, as one of them is preferred
+		for _, e := range firsts {
+			e.SetFailing(e == failing)
+		}
+		repeated := 0
+		for i := range 15 {
+			id := fmt.Sprintf("f%d-%d", n, i)
+			got := d.ask(http.MethodPost, "/gen/x", id, "k", "prompt")
+			is.Equal(got.status, http.StatusOK)
+			checkStream(t, got.body, 1, 20)
+			repeated += d.runs.Of(id) - 1
+		}
+		if repeated > 6 {
+			t.Errorf("%s failed, and %d of 15 requests ran there", failing.ID, repeated)
+		}
 	}
-	is.True(repeated <= 6)
 }
 
 // TestDrainingEngineDuringAStoreOutage: an engine that refuses everything while the
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -32,8 +32,11 @@
 	LatencyFactor float64
 	// MinSamples is the observations needed before latency is judged.
 	MinSamples int
-	// MaxEjected bounds the ejected fraction of upstreams with the same duty.
+	// MaxEjected bounds the ejected fraction of upstreams with the same duty, or of those
+	// of the same model with CapByModel: where each engine has a range of its own, that an
+	// upstream is the last way of its layers is what spares it.
 	MaxEjected float64
+	CapByModel bool
 	// BaseEjection is the time of the first ejection; each one soon after doubles it.
 	BaseEjection time.Duration
 	MaxEjection  time.Duration
@@ -398,7 +401,11 @@
 func (d *Detector) overCap(u *state) bool {
 	all, out := 0, 1
 	for _, o := range d.order {
-		if o.member.duty() != u.member.duty() {
+		same := o.member.duty() == u.member.duty()
+		if d.cfg.CapByModel && u.member.ModelLayers > 0 {
+			same = o.member.Model == u.member.Model
+		}
+		if !same {
 			continue
 		}
 		all++
--- a/pkg/outlier/shared_test.go
+++ b/pkg/outlier/shared_test.go
@@ -113,3 +113,27 @@
 		})
 	}
 }
+
+// TestFailingEngineWithARangeOfItsOwnIsEjected: engines that answer everything with an
+// error are left alone also when no other one has just their layers, as long as the model
+// is covered without them; the last way stays.
+func TestFailingEngineWithARangeOfItsOwnIsEjected(t *testing.T) {
+	is := is.New(t)
+	c := outlier.DefaultConfig()
+	c.CapByModel = true
+	d := outlier.New(c)
+	engine := func(id fleet.UpstreamID, first, end int) outlier.Member {
+		return outlier.Member{ID: id, Model: "m", Layers: fleet.LayerRange{First: first, End: end}, ModelLayers: 8}
+	}
+	d.SetMembers([]outlier.Member{engine("a", 0, 2), engine("b", 2, 4), engine("wide", 0, 4), engine("c", 4, 6), engine("d", 6, 8)})
+	now := time.Unix(1e9, 0)
+	fail := func(id fleet.UpstreamID) {
+		for range c.Consecutive {
+			d.Failed(now, id, nil)
+		}
+	}
+	fail("wide")
+	is.True(d.Ejected("wide"))
+	fail("c") // without it no chain covers the model
+	is.True(!d.Ejected("c"))
+}
