--- a/pkg/chain/chain_test.go
+++ b/pkg/chain/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -133,3 +134,43 @@
 	_, failure := b.Reserve(start, need, nil)
 	is.Equal(failure, chain.Incomplete)
 }
+
+// TestLittleRoomCausesNoCrossing: load pattern of a calm day of the large site. Many VMs
+// share engines that have room for some more requests, less than the others may take
+// meanwhile; chains that cross data centres cost the pipe 29.5 KB a token and stay the last
+// way all the same.
+func TestLittleRoomCausesNoCrossing(t *testing.T) {
+	is := is.New(t)
+	b := chain.New(testEngine(), "a")
+	b.SetServers(append(chainOf("s", "a", slow, 8), chainOf("t", "b", slow, 8)[5:]...))
+	random := rand.New(rand.NewPCG(1, 2))
+	b.Share(chain.Sharing{
+		Near: chain.Rivals{Settle: 100 * time.Millisecond, VMs: 23}, Far: chain.Rivals{Settle: 800 * time.Millisecond, VMs: 117},
+		Random: random.Float64,
+	})
+	// The local engines of the second half have room for four more requests.
+	tokens := float64(need.Prompt + need.Answer)
+	b.SetOthers(func(id fleet.UpstreamID) chain.Load {
+		if len(id) != 3 || id[0] != 's' || id < "s40" { // s40 to s72
+			return chain.Load{}
+		}
+		return chain.Load{KV: chain.Capacity(testEngine(), slow, 8) - 4.5*8*tokens}
+	})
+	now := start
+	for range 300 {
+		now = now.Add(300 * time.Millisecond)
+		b.Arrived(now)
+		c, failure := b.Reserve(now, need, nil)
+		is.Equal(failure, chain.NoFailure)
+		is.Equal(c.Crossings, 0)
+		b.Release(c)
+	}
+	for range 4 {
+		c, failure := b.Reserve(now, need, nil)
+		is.Equal(failure, chain.NoFailure)
+		is.Equal(c.Crossings, 0)
+	}
+	c, failure := b.Reserve(now, need, nil) // the local ones are full
+	is.Equal(failure, chain.NoFailure)
+	is.Equal(c.Crossings, 1)
+}
