--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,16 +58,34 @@
 	ended    chan error
 }
 
+// freeAddress returns an address for a listener that is opened later. Its port lies below
+// those that the system gives to connections and to listeners without one, so that no
+// other test of this machine gets it meanwhile.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue // in use by another program
+		}
+		defer l.Close()
+		return l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
+// The ports of freeAddress. Test processes that run beside each other begin at different
+// ones.
+const firstPort, lastPort = 11000, 30000
+
+var nextPort = func() *atomic.Int64 {
+	var n atomic.Int64
+	n.Store(int64(os.Getpid()) * 97)
+	return &n
+}()
+
 // config is the operator's configuration with a version and a time-out.
 func config(version int, timeoutMS int, keys ...string) []byte {
 	return userplatform.Operator{Version: version, Timeout: time.Duration(timeoutMS) * time.Millisecond, StreamAttempts: 2, Keys: keys}.Config()
