--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,9 @@
 fuzz:
 	$(GO) test -run xxx -fuzz FuzzApply -fuzztime $(FUZZTIME) ./pkg/settings
 	$(GO) test -run xxx -fuzz FuzzFrame -fuzztime $(FUZZTIME) ./pkg/wire
+	$(GO) test -run xxx -fuzz FuzzFeed -fuzztime $(FUZZTIME) ./pkg/eventstream
+	for target in FuzzConfig FuzzUpstream FuzzCaller FuzzStoreAnswer; do \
+		$(GO) test -run xxx -fuzz $$target -fuzztime $(FUZZTIME) ./platform || exit 1; done
 
 # soak plays real processes under faults from outside: seeds from SEED on for MINUTES.
 MINUTES ?= 1
--- a/pkg/eventstream/eventstream_test.go
+++ b/pkg/eventstream/eventstream_test.go
@@ -92,3 +92,28 @@
 	}
 	is.True(fed <= eventstream.MaxEventBytes+len(piece))
 }
+
+// FuzzFeed: whatever the bytes and the cut, what is passed on is a part of them in order,
+// no event number comes twice, and nothing panics.
+func FuzzFeed(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n: c\n\nid: 1\ndata: b\n\nid: 2\n\n"), 9)
+	f.Add([]byte("\n\n\r\n\r\nid:\xff\n\n"), 3)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		cut = min(max(cut, 0), len(data))
+		var s eventstream.Splitter
+		passed := 0
+		for _, part := range [][]byte{data[:cut], data[cut:]} {
+			whole, events, err := s.Feed(part)
+			if err != nil {
+				return
+			}
+			passed += len(whole)
+			if events > 0 && len(whole) == 0 {
+				t.Fatal("events without bytes")
+			}
+		}
+		if passed > len(data) {
+			t.Fatalf("%d bytes of %d are passed on", passed, len(data))
+		}
+	})
+}
