--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -32,11 +32,17 @@
 	Weight float64
 	// Slowness multiplies its times; 1 is usual.
 	Slowness float64
+	// Born is the start of the server.
+	Born time.Time
+	// SparedUntil is until when it is used only if others would cost more: it asked
+	// another VM for a pause.
+	SparedUntil time.Time
 }
 
 // Stage is a part of a chain.
 type Stage struct {
 	Server     fleet.UpstreamID
+	Born       time.Time
 	Address    string
 	DataCentre fleet.DataCentreID
 	Layers     fleet.LayerRange
@@ -84,10 +90,14 @@
 	Incomplete
 	// Full: every chain is short of memory or would be too slow.
 	Full
+	// Paused: servers without which no chain is complete want no requests for a time.
+	Paused
 )
 
 // String returns the failure's name.
-func (f Failure) String() string { return [...]string{"none", "layers missing", "chains full"}[f] }
+func (f Failure) String() string {
+	return [...]string{"none", "layers missing", "chains full", "servers ask for a pause"}[f]
+}
 
 type server struct {
 	Server
@@ -97,7 +107,9 @@
 	refusals  int
 	refusedAt time.Time
 	fullUntil time.Time
-	own       Load
+	// pausedUntil is until when the server wants no requests of this VM.
+	pausedUntil time.Time
+	own         Load
 	// others is what the other VMs have promised.
 	others Load
 }
@@ -167,6 +179,8 @@
 		e := old[s.ID]
 		if e == nil {
 			e = &server{}
+		} else if !e.Born.Equal(s.Born) {
+			e.pausedUntil = time.Time{}
 		}
 		e.Server = s
 		e.capacity = Capacity(b.engine, s.Card, s.Layers.End-s.Layers.First)
@@ -238,6 +252,32 @@
 	}
 }
 
+// Pause keeps a server out of all chains until a time. A shorter pause does not end a
+// longer one.
+func (b *Book) Pause(id fleet.UpstreamID, until time.Time) {
+	if s := b.byID[id]; s != nil && until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// PausedUntil returns the time at which enough pauses are over for a complete chain, the
+// zero time if the servers that take work can't make one even then.
+func (b *Book) PausedUntil(now time.Time) time.Time {
+	var ends []time.Time
+	for _, s := range b.servers {
+		if now.Before(s.pausedUntil) {
+			ends = append(ends, s.pausedUntil)
+		}
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	for _, end := range ends {
+		if b.Complete(end, nil) {
+			return end
+		}
+	}
+	return time.Time{}
+}
+
 // Complete reports whether the servers that take work hold every layer.
 func (b *Book) Complete(now time.Time, avoid map[fleet.UpstreamID]bool) bool {
 	_, ok := b.search(now, Need{}, avoid, false)
@@ -248,10 +288,13 @@
 // memory that the generation needs.
 func (b *Book) Reserve(now time.Time, need Need, avoid map[fleet.UpstreamID]bool) (*Chain, Failure) {
 	c, ok := b.search(now, need, avoid, true)
-	if !ok {
-		if b.Complete(now, avoid) {
-			return nil, Full
-		}
+	switch {
+	case ok:
+	case b.Complete(now, avoid):
+		return nil, Full
+	case !b.PausedUntil(now).IsZero():
+		return nil, Paused
+	default:
 		return nil, Incomplete
 	}
 	b.book(c, 1)
--- a/pkg/chain/search.go
+++ b/pkg/chain/search.go
@@ -48,7 +48,7 @@
 			if s.Layers.First > p {
 				break
 			}
-			if s.Layers.End <= p || s.Weight <= 0 || avoid[s.ID] {
+			if s.Layers.End <= p || s.Weight <= 0 || avoid[s.ID] || now.Before(s.pausedUntil) {
 				continue
 			}
 			count := s.Layers.End - p
@@ -61,7 +61,7 @@
 				extra = b.sharing.cost(room, s.DataCentre == b.local)
 			}
 			for _, way := range best[p] {
-				next := b.extend(way, s, p, count, need)
+				next := b.extend(now, way, s, p, count, need)
 				next.cost += extra
 				if limits && next.crossed > 0 && b.crossings >= b.maxCrossings {
 					continue
@@ -108,7 +108,7 @@
 }
 
 // extend returns the way on through a server from layer p.
-func (b *Book) extend(way *partial, s *server, p, count int, need Need) *partial {
+func (b *Book) extend(now time.Time, way *partial, s *server, p, count int, need Need) *partial {
 	step := b.stepTime(s, count)
 	read := ReadTime(b.engine, s.Card, float64(need.Prompt), count).Seconds() * max(s.Slowness, 1)
 	next := &partial{server: s, from: p, previous: way, crossed: way.crossed}
@@ -124,12 +124,19 @@
 	next.cost = way.cost + read + penalty.Seconds() + float64(need.Answer)*(step+hop.Seconds())
 	// A server that returns after a failure takes work in proportion to its weight.
 	next.cost += (1 - s.Weight) * returnPenalty.Seconds()
+	if now.Before(s.SparedUntil) {
+		next.cost += sparedPenalty.Seconds()
+	}
 	return next
 }
 
 // returnPenalty is the handicap of a server that just returned.
 const returnPenalty = time.Second
 
+// sparedPenalty is the handicap of a server that asked another VM for a pause: that of one
+// with half of its weight.
+const sparedPenalty = returnPenalty / 2
+
 // stepTime returns the expected seconds of one token on a number of a server's
 // layers, with the requests that are on it.
 func (b *Book) stepTime(s *server, count int) float64 {
@@ -162,7 +169,7 @@
 	for way := last; way.server != nil; way = way.previous {
 		s := way.server
 		c.Stages = append(c.Stages, Stage{
-			Server: s.ID, Address: s.Address, DataCentre: s.DataCentre,
+			Server: s.ID, Born: s.Born, Address: s.Address, DataCentre: s.DataCentre,
 			Layers: fleet.LayerRange{First: way.from, End: s.Layers.End},
 		})
 		read += ReadTime(b.engine, s.Card, float64(need.Prompt), s.Layers.End-way.from)
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -12,6 +12,8 @@
 //     so that in a flood the engines' time goes to answers that are on time;
 //   - after that, a caller who comes back after a refusal goes before a new one, and
 //     then the team that has the least work on the engines;
+//   - a request for which every chain needs a server that asked for a pause is refused at
+//     once, until the pause ends;
 //   - a full queue gives up the request that would go last, not the one that came last.
 package dispatch
 
@@ -109,8 +111,11 @@
 	q.book.Arrived(now)
 	if len(q.waiting) == 0 || !q.preferred(now, r) {
 		c, failure := q.book.Reserve(now, r.Need, nil)
-		if failure == chain.NoFailure {
+		switch failure {
+		case chain.NoFailure:
 			return append(out, q.start(now, r, c, 0))
+		case chain.Paused:
+			return append(out, q.paused(now, r, 0))
 		}
 		if wait := q.predict(now, r); failure == chain.Full && wait > r.Patience {
 			return append(out, q.refuse(r, failure, wait, 0))
@@ -182,6 +187,11 @@
 		i := q.next(now)
 		w := q.waiting[i]
 		c, failure := q.book.Reserve(now, w.Need, nil)
+		if failure == chain.Paused {
+			q.waiting = slices.Delete(q.waiting, i, i+1)
+			out = append(out, q.paused(now, w.Request, now.Sub(w.arrived)))
+			continue
+		}
 		if failure != chain.NoFailure {
 			return out
 		}
@@ -210,6 +220,17 @@
 	return Action{Request: r.ID, Why: why, RetryAfter: min(after, q.cfg.MaxRetry), Waited: waited, Ahead: len(q.waiting)}
 }
 
+// pausedSpread is the time over which those come back who are refused for pauses of
+// servers, so that they do not all come with the end of the pause.
+const pausedSpread = 250 * time.Millisecond
+
+// paused refuses a request until servers without which no chain is complete take requests
+// again.
+func (q *Queue) paused(now time.Time, r Request, waited time.Duration) Action {
+	after := q.book.PausedUntil(now).Sub(now) + time.Duration(q.random()*float64(pausedSpread))
+	return Action{Request: r.ID, Why: chain.Paused, RetryAfter: after, Waited: waited, Ahead: len(q.waiting)}
+}
+
 // next returns the index of the waiting request that goes first.
 func (q *Queue) next(now time.Time) int {
 	best := 0
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -51,6 +51,8 @@
 	ConfigInForce    ID = 408
 	ConfigRejected   ID = 409
 	EntryRejected    ID = 410
+	StoreRestored    ID = 411
+	StoreAnswerLate  ID = 412
 )
 
 // Placement events.
@@ -108,6 +110,10 @@
 	UpstreamChanged:  {"upstream_changed", zerolog.InfoLevel},
 	UpstreamSlow:     {"upstream_slow", zerolog.InfoLevel},
 	UpstreamRefusing: {"upstream_refusing", zerolog.WarnLevel},
+	UpstreamPaused:   {"upstream_paused", zerolog.InfoLevel},
+	NoticeOdd:        {"upstream_notice_odd", zerolog.WarnLevel},
+	StoreRestored:    {"store_restored", zerolog.WarnLevel},
+	StoreAnswerLate:  {"store_answer_late", zerolog.WarnLevel},
 	PlacementOrdered: {"placement_ordered", zerolog.InfoLevel},
 
 	AttemptStarted: {"attempt_started", zerolog.DebugLevel},
--- a/pkg/event/events_fleet.go
+++ b/pkg/event/events_fleet.go
@@ -7,6 +7,8 @@
 	UpstreamChanged  ID = 703
 	UpstreamSlow     ID = 704
 	UpstreamRefusing ID = 705
+	UpstreamPaused   ID = 706
+	NoticeOdd        ID = 707
 )
 
 // Rehearsal events.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -11,10 +11,12 @@
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/outlier"
 	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/roster"
 	"github.com/cornelline/cornelline/pkg/stall"
+	"github.com/cornelline/cornelline/pkg/storeera"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -50,11 +52,14 @@
 	// stall finds runs that make no progress.
 	stall *stall.Watch
 
-	// The configuration in force, also as it stands in the store, for other VMs.
-	catalog  *catalog.Catalog
-	config   []byte
-	fetching bool // a configuration is on its way from another VM
-	gates    map[catalog.ServiceID]*gate
+	// The configuration in force, also as it stands in the store, for other VMs. rewritten
+	// is an older one that the operator wrote anew and that is not in force yet.
+	configuration storeera.Configuration
+	catalog       *catalog.Catalog
+	config        []byte
+	rewritten     *configRecord
+	fetching      bool // a configuration is on its way from another VM
+	gates         map[catalog.ServiceID]*gate
 
 	listed   bool // the list of upstreams was read once
 	listedAt time.Time
@@ -67,8 +72,10 @@
 	assignedAt time.Time
 	// leaderHeard is when a VM was last known to lead.
 	leaderHeard time.Time
-	// fetchingList is set while the list is on its way from another VM.
+	// fetchingList is set while the list is on its way from another VM, askedList once one
+	// has answered: it also knows which upstreams are about to end.
 	fetchingList bool
+	askedList    bool
 	// storeAway is the opposite of storeUp, for other goroutines.
 	storeAway atomic.Bool
 
@@ -192,6 +199,9 @@
 	c.send(c.members.Tick(now))
 	c.endRefusals(now)
 	c.sweep(now)
+	if c.configuration.Tick(now) {
+		c.putConfig(now, c.rewritten, "store, written anew by the operator")
+	}
 	if now.Sub(c.assignedAt) >= dutyInterval {
 		c.assignedAt = now
 		c.assignDuty(now)
@@ -205,6 +215,7 @@
 	if now.Sub(c.prunedAt) >= time.Second {
 		c.prunedAt = now
 		c.g.pool.Prune()
+		c.pruneNotices(now)
 		c.g.log.Suppressed()
 		c.g.setRetryLimits(now)
 		c.health.SetConfig(healthConfig(c.g.view.Load().vms, c.phase))
@@ -219,27 +230,6 @@
 // drainsKept is how long an end is remembered: longer than a generation lasts.
 const drainsKept = time.Minute
 
-// configRead takes in a configuration from the store or from another VM.
-func (c *control) configRead(data []byte, source string) {
-	compiled, err := platform.DecodeConfig(data)
-	if err != nil {
-		c.g.stats.Count("config_rejected")
-		c.g.log.Log(event.ConfigRejected).Str("source", source).Err(err).Send()
-		return
-	}
-	c.post(func(now time.Time) {
-		// A version never goes back, whoever offers it.
-		if c.catalog != nil && compiled.Version <= c.catalog.Version {
-			return
-		}
-		c.catalog, c.config, c.dirty = compiled, data, true
-		c.news.TellNow()
-		c.farNews.TellNow()
-		c.g.log.Log(event.ConfigInForce).Uint64("version", compiled.Version).Str("source", source).Send()
-		c.publish(now)
-	})
-}
-
 // upstreamsChanged books changes of the list of upstreams.
 func (c *control) upstreamsChanged(now time.Time, changes []roster.Change) {
 	for _, change := range changes {
@@ -247,7 +237,8 @@
 		u := change.Upstream
 		c.g.log.Log(event.UpstreamChanged).Str("upstream", string(u.ID)).Str("service", string(u.Service)).
 			Str("address", u.Address).Str("reason", change.Why.String()).Stringer("layers", u.Layers).Send()
-		if change.Gone || change.Why == roster.Drains || change.Why == roster.Listed {
+		drains := change.Why == roster.Drains || change.Why == roster.Leaves
+		if change.Gone || drains || change.Why == roster.Listed {
 			c.g.pool.CloseIdle(u.Address)
 		}
 		if change.Gone || change.Why == roster.Listed {
@@ -260,7 +251,7 @@
 		case change.Why == roster.Listed:
 			c.forgetHealth(u.ID)
 			delete(c.drains, u.ID)
-		case change.Gone || change.Why == roster.Drains:
+		case change.Gone || drains:
 			if _, known := c.drains[u.ID]; !known {
 				c.drains[u.ID] = now
 			}
@@ -459,18 +450,25 @@
 	if service == nil {
 		return
 	}
+	if c.g.notices.state(time.Now(), notice.InstanceOf(id, u.Born)) == notice.Paused {
+		c.probed(time.Now(), id, nil, true) // it answered that it wants nothing now
+		return
+	}
 	c.g.stats.Count("probes")
 	c.g.spawn("probe", func() {
 		ctx, cancel := context.WithTimeout(c.g.running, probeTimeout)
 		defer cancel()
 		if service.Engine == nil {
-			answered, healthy, err := c.g.servers.Health(ctx, u.Address, service.HealthPath)
-			c.post(func(now time.Time) {
-				c.probed(now, id, err, healthy && (answered == "" || answered == id))
-			})
+			answer, err := c.g.servers.Health(ctx, u.Address, service.HealthPath)
+			same := answer.Upstream == "" || answer.Upstream == id
+			if same {
+				c.g.noticed(id, u.Born, answer.Notice)
+			}
+			c.post(func(now time.Time) { c.probed(now, id, err, answer.Healthy && same) })
 			return
 		}
 		report, err := c.g.servers.Report(ctx, u.Address)
+		c.g.noticed(id, u.Born, report.Notice)
 		c.post(func(now time.Time) {
 			if err == nil {
 				c.reported(now, id, report)
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -8,6 +8,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/pkg/storeera"
 	"github.com/cornelline/cornelline/pkg/storewatch"
 	"github.com/cornelline/cornelline/platform"
 )
@@ -72,6 +73,7 @@
 	var next uint64
 	whole := true
 	failures := 0
+	mark := g.eras.mark()
 	if g.asksPeersFirst() {
 		until := time.Now().Add(spread(startWait))
 		for g.view.Load().catalog == nil && time.Now().Before(until) {
@@ -83,7 +85,13 @@
 			pause(ctx, watchPause)
 			continue
 		}
+		if now := g.eras.mark(); now != mark { // offsets of another copy of the store
+			mark, whole = now, true
+		}
 		page, err := g.readConfig(ctx, next, whole)
+		if verdict := g.judgePage(mark, page, err, platform.OperatorTopic); verdict != storeera.Current {
+			continue
+		}
 		if errors.Is(err, platform.ErrExpired) {
 			whole = true
 			continue
@@ -96,22 +104,31 @@
 			g.readFailed(ctx, platform.OperatorTopic, failures, err)
 			continue
 		}
+		appended := !whole
 		next, whole, failures = page.End, false, 0
 		g.control.storeAnswered()
-		var newest []byte
+		var newest platform.KeyedRecord
 		for _, r := range page.Records {
 			if r.Key == platform.ConfigKey && r.Value != nil {
-				newest = r.Value
+				newest = r
 			}
 		}
-		if newest != nil {
-			g.control.configRead(newest, "store")
+		if newest.Value != nil {
+			g.control.configRead(newest.Value, storeera.Record{Era: page.Era, Offset: newest.Offset, Appended: appended})
 		} else if len(page.Records) == 0 && g.view.Load().catalog == nil && !pause(ctx, emptyPause) {
 			return
 		}
 	}
 }
 
+// judgePage judges the answer to a read that began at a mark, or its failure.
+func (g *Gateway) judgePage(began storeera.Mark, page platform.Page, err error, topic string) storeera.Verdict {
+	if err != nil {
+		return g.judgeFailure(began, err, topic)
+	}
+	return g.judge(began, page.Era, topic)
+}
+
 // readTopic reads a keyed topic from an offset on or whole.
 func (g *Gateway) readTopic(ctx context.Context, topic string, from uint64, whole bool, wait, limit time.Duration) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -149,7 +166,7 @@
 // reads the topic for all and tells the others; each reads it itself when it does not
 // hear of it in time.
 func (g *Gateway) followUpstreams(ctx context.Context) {
-	f := &listFollower{g: g, Follower: roster.NewFollower(), late: time.NewTimer(0)}
+	f := &listFollower{g: g, Follower: roster.NewFollower(), late: time.NewTimer(0), mark: g.eras.mark()}
 	defer f.late.Stop()
 	if g.asksPeersFirst() {
 		f.late.Reset(spread(startWait))
@@ -161,8 +178,11 @@
 		case answer := <-g.snapshots:
 			answer <- f.snapshot(time.Now())
 		case l := <-g.listings:
+			g.heardEra(l.Era, "listing")
+			f.followEra()
 			f.hear(l)
 		case <-f.late.C:
+			f.followEra()
 			f.read(ctx)
 		}
 	}
@@ -177,6 +197,20 @@
 	// taken is when a listing was last taken in.
 	taken    time.Time
 	failures int
+	// mark is that of the copy of the store to which the follower's offset belongs.
+	mark storeera.Mark
+}
+
+// followEra drops the offset of a copy of the store that is no more. The VM that reads the
+// list for all does so at once; the others wait for what it finds.
+func (f *listFollower) followEra() {
+	now := f.g.eras.mark()
+	if now == f.mark {
+		return
+	}
+	f.mark = now
+	f.Restored(f.g.eras.era())
+	f.late.Reset(f.g.listingWait())
 }
 
 // snapshot returns the list for a VM that starts; an old one is not whole.
@@ -188,10 +222,12 @@
 
 // hear takes in a listing of another VM.
 func (f *listFollower) hear(l roster.Listing) {
-	switch next, _ := f.Next(); {
-	case f.Adopt(l) || f.Hear(l):
+	next, _ := f.Next()
+	l, adopted := f.Adopt(l)
+	switch {
+	case adopted || f.Hear(l):
 		f.taken = time.Now()
-		f.g.take(l, false, false)
+		f.g.take(l, false, nil)
 		f.late.Reset(f.g.listingWait())
 	case l.Whole: // an own read came first
 	case l.From > next && f.Begun(): // one was missed
@@ -206,7 +242,7 @@
 		f.late.Reset(f.g.listingWait())
 		return
 	}
-	again, err := f.g.readUpstreams(ctx, f.Follower)
+	again, err := f.g.readUpstreams(ctx, f)
 	switch {
 	case err != nil:
 		f.failures++
@@ -231,10 +267,14 @@
 
 // readUpstreams reads the upstreams' topic and reports whether it must be read again at
 // once.
-func (g *Gateway) readUpstreams(ctx context.Context, follower *roster.Follower) (again bool, err error) {
+func (g *Gateway) readUpstreams(ctx context.Context, follower *listFollower) (again bool, err error) {
 	next, whole := follower.Next()
 	begun := follower.Begun()
 	page, err := g.readTopic(ctx, platform.UpstreamTopic, next, whole, 0, storeTimeout)
+	if verdict := g.judgePage(follower.mark, page, err, platform.UpstreamTopic); verdict != storeera.Current {
+		follower.followEra()
+		return true, nil
+	}
 	if errors.Is(err, platform.ErrExpired) {
 		follower.Expired()
 		return true, nil
@@ -243,8 +283,19 @@
 		return false, err
 	}
 	g.control.storeAnswered()
+	if follower.Era() == 0 {
+		follower.SetEra(page.Era)
+	}
 	l := follower.Read(g.decodeEntries(page), page.End, whole)
-	g.take(l, true, begun)
+	var told *roster.Listing // others have only what was read before
+	switch {
+	case l.Copied:
+		snapshot := follower.Snapshot()
+		told = &snapshot
+	case begun:
+		told = &l
+	}
+	g.take(l, true, told)
 	return whole, nil // what changed while the whole topic was read follows at once
 }
 
@@ -267,9 +318,9 @@
 	return entries
 }
 
-// take hands a listing to the control goroutine. One that was read here may be told to
-// the other VMs if this VM reads for all.
-func (g *Gateway) take(l roster.Listing, own, tell bool) {
+// take hands a listing to the control goroutine. What is told of one that was read here
+// goes to the other VMs if this VM reads for all.
+func (g *Gateway) take(l roster.Listing, own bool, told *roster.Listing) {
 	g.control.post(func(now time.Time) {
 		c := g.control
 		if own {
@@ -278,8 +329,9 @@
 			c.storeIsBack(now, "another VM")
 		}
 		c.listedAt = now
-		if tell && g.duty.Load().ReadsList {
-			c.tellListing(l)
+		if told != nil && g.duty.Load().ReadsList {
+			told.SoundFor = l.SoundFor
+			c.tellListing(*told)
 		}
 		if !c.listed {
 			c.listed, c.dirty = true, true
--- a/pkg/gateway/gate.go
+++ b/pkg/gateway/gate.go
@@ -95,6 +95,13 @@
 	g.book.Refused(time.Now(), id)
 }
 
+// pause leaves an engine out until a time.
+func (g *gate) pause(id fleet.UpstreamID, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Pause(id, until)
+}
+
 // served notes the first event of a chain that was begun at a time.
 func (g *gate) served(c *chain.Chain, began time.Time) {
 	g.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -107,6 +107,8 @@
 	returns *returns
 
 	budgets *budgets
+	notices *notices
+	eras    eras
 
 	front, directory, ready, metrics *khttp.Server
 	running                          context.Context
@@ -120,7 +122,7 @@
 	g := &Gateway{
 		settings: settings, log: log, output: output, stats: stats.New(), started: time.Now(),
 		store: platform.NewStore(settings.Store.Address, exchange.Dialer(connectTimeout, unacknowledgedTimeout, storeKeepAlive)), servers: platform.NewServers(dial),
-		stopper: newStopper(), streams: newStreams(), crashes: newCrashes(), returns: newReturns(), known: make(chan struct{}), budgets: newBudgets(),
+		stopper: newStopper(), streams: newStreams(), crashes: newCrashes(), returns: newReturns(), known: make(chan struct{}), budgets: newBudgets(), notices: newNotices(),
 		listings: make(chan roster.Listing, listingQueue), snapshots: make(chan chan<- roster.Listing),
 	}
 	g.pool = exchange.New(exchange.Config{
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -136,7 +136,7 @@
 // refused answers a generation that dispatch refused.
 func (g *generation) refused(a dispatch.Action) {
 	code := result.DeadlineUnmet
-	if a.Why == chain.Incomplete {
+	if a.Why == chain.Incomplete || a.Why == chain.Paused {
 		code = result.NoUpstream
 	}
 	g.line(event.RequestQueued).Str("outcome", "refused").Str("reason", a.Why.String()).Int("ahead", a.Ahead).
@@ -295,6 +295,10 @@
 	defer cancel(nil)
 	r.cancel = cancel
 	first := c.Stages[0]
+	if id, closed := g.g.notices.closed(time.Now(), c.Stages); closed { // it said so after the chain was reserved
+		g.avoid[id] = true
+		return notRun, errClosed
+	}
 	head := platform.EncodeRequest(g.r, platform.Forward{
 		Team: g.team, Instance: first.Server, Left: g.left(), Chain: stages(c), LastEvent: g.events.LastID(), Urgency: min(g.rank, maxUrgency),
 	}, len(g.body))
@@ -307,6 +311,7 @@
 	}
 	defer answer.Close()
 	reply := platform.ParseReply(answer.Status, answer.Header)
+	g.g.noticed(first.Server, first.Born, reply.Notice)
 	if reply.NotRun {
 		g.blame(reply, first.Server)
 		return notRun, errRefused
@@ -326,6 +331,10 @@
 // errRefused is the cause of a run that a server of the chain refused.
 var errRefused = errors.New("chain refused the request")
 
+// errClosed is the cause of a run that was not begun: a server of the chain takes no
+// requests of this VM any more.
+var errClosed = errors.New("server of the chain takes no requests")
+
 // maxUrgency is the last of the urgencies that engines know.
 const maxUrgency = 9
 
@@ -367,7 +376,9 @@
 	g.gate.refused(id)
 	g.g.stats.Count("chain_refusals")
 	g.line(event.ChainRefused).Str("upstream", string(id)).Bool("wrong_instance", reply.WrongInstance).Send()
-	g.g.control.refusedPart(id)
+	if reply.Pause == 0 || id != first {
+		g.g.control.refusedPart(id)
+	}
 }
 
 // passFailure gives a failure of the engine to the caller, unless another chain may run
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -8,6 +8,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/layout"
+	"github.com/cornelline/cornelline/pkg/storeera"
 	"github.com/cornelline/cornelline/pkg/storewatch"
 	"github.com/cornelline/cornelline/platform"
 )
@@ -80,6 +81,12 @@
 	lackSince map[fleet.DataCentreID]time.Time
 	askedAt   time.Time
 	lastPlan  layout.Plan
+	// renewAt is the time of the next call to the group.
+	renewAt time.Time
+	// mark is that of the copy of the store to which generation belongs; restored is set
+	// once there was another one before.
+	mark     storeera.Mark
+	restored bool
 }
 
 // tokenShift leaves room below a group's generation for the takeovers of deputies,
@@ -123,9 +130,8 @@
 func (g *Gateway) lead(ctx context.Context) {
 	l := &leader{
 		g: g, orders: make(map[fleet.UpstreamID]*placed), deadSince: make(map[fleet.UpstreamID]time.Time),
-		lackSince: make(map[fleet.DataCentreID]time.Time), renewals: make(chan renewal, 1),
+		lackSince: make(map[fleet.DataCentreID]time.Time), renewals: make(chan renewal, 1), mark: g.eras.mark(),
 	}
-	var renewAt time.Time
 	for pause(ctx, orderInterval) {
 		if g.stopper.stopping() {
 			g.leading.Store(false)
@@ -140,8 +146,9 @@
 			l.renewed(r)
 		default:
 		}
-		if now := time.Now(); !now.Before(renewAt) && !l.renewing && (l.holds || g.duty.Load().Candidate) {
-			renewAt = now.Add(leadRenew)
+		l.followEra()
+		if now := time.Now(); !now.Before(l.renewAt) && !l.renewing && (l.holds || g.duty.Load().Candidate) {
+			l.renewAt = now.Add(leadRenew)
 			l.renew(ctx)
 		}
 		l.deputise()
@@ -193,6 +200,7 @@
 // renewal is the outcome of a call that joins the group or stays in it.
 type renewal struct {
 	began time.Time
+	mark  storeera.Mark
 	call  string
 	got   platform.Membership
 	err   error
@@ -201,14 +209,14 @@
 // renew joins the group or stays in it. The call is made beside the orders, which a
 // silent store must not hold up; its outcome is taken by renewed.
 func (l *leader) renew(ctx context.Context) {
-	generation, touch := l.generation, !l.touched
+	generation, touch, mark := l.generation, !l.touched, l.mark
 	l.renewing = true
 	l.g.spawn("group call", func() {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		r := renewal{began: time.Now(), call: "touch"}
+		r := renewal{began: time.Now(), mark: mark, call: "touch"}
 		if touch {
-			r.err = l.g.store.Touch(ctx, platform.LeadTopic)
+			r.got.Era, r.err = l.g.store.Touch(ctx, platform.LeadTopic)
 		}
 		if r.err == nil {
 			r.call = "join"
@@ -223,6 +231,16 @@
 // renewed takes in the outcome of a call.
 func (l *leader) renewed(r renewal) {
 	l.renewing = false
+	verdict := storeera.Current
+	if r.err != nil {
+		verdict = l.g.judgeFailure(r.mark, r.err, r.call)
+	} else {
+		verdict = l.g.judge(r.mark, r.got.Era, r.call)
+	}
+	if verdict != storeera.Current || l.followEra() {
+		l.followEra() // the group of the copy before is no more
+		return
+	}
 	l.touched = l.touched || r.call != "touch"
 	if r.err != nil {
 		// While the store is away nobody can take over: the leader goes on, and the
@@ -240,7 +258,7 @@
 	}
 	l.until = r.began.Add(l.ttl())
 	if l.holds {
-		l.fence = max(l.fence, l.generation<<tokenShift)
+		l.fence = l.token(held)
 		l.g.seeToken(l.fence)
 	}
 	if l.holds != held {
@@ -253,6 +271,34 @@
 	}
 }
 
+// followEra gives up a lead that came from a copy of the store that is no more, and
+// reports whether it did so now. The group is joined anew at once.
+func (l *leader) followEra() bool {
+	now := l.g.eras.mark()
+	if now == l.mark {
+		return false
+	}
+	l.mark = now
+	if l.holds {
+		l.g.log.Log(event.PlacementLeaseLost).Uint64("epoch", l.fence).Str("reason", "store came back from an older copy").Send()
+	}
+	l.holds, l.touched, l.generation, l.restored = false, false, 0, true
+	l.renewAt = time.Time{}
+	l.forget()
+	return true
+}
+
+// token returns the fencing token of a holder of the partition. After the store came back
+// from an older copy the group's generations are given out again: then a new holder's
+// token is above all that any VM has used.
+func (l *leader) token(held bool) uint64 {
+	token := max(l.fence, l.generation<<tokenShift)
+	if l.restored && !held {
+		token = max(token, l.g.token.Load()+1)
+	}
+	return token
+}
+
 // forget drops what was known of orders: another leader may have given others since.
 func (l *leader) forget() {
 	l.mu.Lock()
--- /dev/null
+++ b/pkg/gateway/notices_test.go
@@ -0,0 +1,237 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/standin/userplatform"
+)
+
+// arrivals are the times at which requests reached a server.
+type arrivals struct {
+	mu   sync.Mutex
+	list []time.Time
+}
+
+func (a *arrivals) add() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list = append(a.list, time.Now())
+}
+
+// between counts the arrivals in a span.
+func (a *arrivals) between(from, to time.Time) (n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, t := range a.list {
+		if t.After(from) && t.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *deployment) watch(p *userplatform.Plain) *arrivals {
+	a := &arrivals{}
+	p.Arrived = func(string) { a.add() }
+	p.Probed = a.add
+	return a
+}
+
+// look asks until a condition holds, with a new id each time.
+func (d *deployment) look(prefix string, until func(reply) bool) {
+	d.t.Helper()
+	n := 0
+	d.eventually(prefix, func() bool {
+		n++
+		return until(d.ask(http.MethodGet, "/look/1", fmt.Sprintf("%s%d", prefix, n), "k", ""))
+	})
+}
+
+// TestServerThatSaysItLeaves: from its answer on it gets no request, although the store is
+// away and its entry says "ready", also not from another VM that hears of it, nor from one
+// that starts afterwards.
+func TestServerThatSaysItLeaves(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	at := d.watch(d.plain[0])
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	second := d.another("vn")
+	d.startVM(second)
+	d.look("served", func(r reply) bool { return r.status == http.StatusOK })
+	d.eventually("the VMs know each other", func() bool { return strings.Count(d.log.String(), `"member_joined"`) >= 2 })
+	d.plain[0].SetLeaving(true)
+	d.look("leaving", func(r reply) bool { return r.header.Get("Server-Leaving") != "" })
+	told := time.Now()
+	d.store.SetDown(true)
+	d.eventually("the other VM hears of it", func() bool { return strings.Count(d.log.String(), `"reason":"leaves"`) >= 2 })
+	first := d.settings
+	ask := func(prefix string) {
+		for i := range 20 {
+			is.Equal(d.ask(http.MethodGet, "/look/1", prefix+strconv.Itoa(i), "k", "").status, http.StatusOK)
+		}
+	}
+	ask("own")
+	d.settings = second
+	ask("other")
+	d.settings = first
+	d.store.SetDown(false)
+	third := d.another("vo")
+	d.startVM(third)
+	d.settings = third
+	d.look("third", func(r reply) bool { return r.status == http.StatusOK })
+	ask("late")
+	is.Equal(at.between(told.Add(2*time.Second), time.Now()), 0) // drain_ms
+}
+
+// TestEngineThatSaysItLeaves: streams go on elsewhere, and its layers are placed anew.
+func TestEngineThatSaysItLeaves(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.settings.Bounds.Drain = 500 * time.Millisecond
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	at := map[string]*arrivals{}
+	for _, e := range d.engines {
+		a := &arrivals{}
+		at[e.ID] = a
+		e.Arrived = func(path string) {
+			if path == "part" {
+				a.add()
+			}
+		}
+	}
+	d.start()
+	d.eventually("layers are placed", func() bool { return d.generates("g" + strconv.Itoa(time.Now().Nanosecond())) })
+	var leaving []string
+	for _, e := range d.engines {
+		if first, end := e.Layers(); first == 0 && end > 0 {
+			e.SetLeaving(true)
+			leaving = append(leaving, e.ID)
+		}
+	}
+	is.True(len(leaving) > 0)
+	d.eventually("it is heard", func() bool {
+		d.generates("l" + strconv.Itoa(time.Now().Nanosecond()))
+		return strings.Count(d.log.String(), `"reason":"leaves"`) >= len(leaving)
+	})
+	told := time.Now()
+	d.eventually("the layers are served again", func() bool { return d.generates("n" + strconv.Itoa(time.Now().Nanosecond())) })
+	for i := range 20 {
+		is.True(d.generates(fmt.Sprintf("after%d", i)))
+	}
+	for _, id := range leaving {
+		is.Equal(at[id].between(told.Add(500*time.Millisecond), time.Now()), 0)
+	}
+}
+
+// TestServerThatAsksForAPause: for so long it gets at most the two requests that may cross
+// its answer, probes among them; others serve meanwhile, and it is used again afterwards.
+func TestServerThatAsksForAPause(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	at := d.watch(d.plain[0])
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	d.look("served", func(r reply) bool { return r.status == http.StatusOK })
+	d.plain[0].SetPause("1.5")
+	d.plain[0].SetFault("shed")
+	d.eventually("it asks for a pause", func() bool {
+		d.ask(http.MethodGet, "/look/1", "p"+strconv.Itoa(time.Now().Nanosecond()), "k", "")
+		return strings.Contains(d.log.String(), `"upstream_paused"`)
+	})
+	asked := time.Now()
+	d.plain[0].SetFault("")
+	n := 0
+	for time.Since(asked) < 1400*time.Millisecond {
+		n++
+		is.Equal(d.ask(http.MethodGet, "/look/1", fmt.Sprintf("m%d", n), "k", "").status, http.StatusOK)
+	}
+	is.True(n > 10)
+	is.True(at.between(asked.Add(500*time.Millisecond), asked.Add(1400*time.Millisecond)) <= 2)
+	d.eventually("it is used again", func() bool {
+		d.ask(http.MethodGet, "/look/1", "r"+strconv.Itoa(time.Now().Nanosecond()), "k", "")
+		return at.between(asked.Add(1500*time.Millisecond), time.Now()) > 0
+	})
+}
+
+// TestAllServersAskForAPause: a booking is refused at once, with the end of the first
+// pause, and has not run; afterwards it runs once.
+func TestAllServersAskForAPause(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	d.look("served", func(r reply) bool { return r.status == http.StatusOK })
+	d.plain[0].SetPause("30")
+	d.plain[1].SetPause("2")
+	for _, p := range d.plain {
+		p.SetFault("shed")
+	}
+	n := 0
+	d.eventually("both ask for a pause", func() bool {
+		n++
+		d.ask(http.MethodPost, "/book/1", fmt.Sprintf("s%d", n), "k", "x")
+		return strings.Count(d.log.String(), `"upstream_paused"`) >= 2
+	})
+	for _, p := range d.plain {
+		p.SetFault("")
+	}
+	began := time.Now()
+	got := d.ask(http.MethodPost, "/book/1", "booking", "k", "x")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(time.Since(began) < time.Second)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after > 0.1 && after < 3)
+	is.Equal(d.runs.Of("booking"), 0)
+	d.eventually("the first pause ends", func() bool {
+		n++
+		return d.ask(http.MethodPost, "/book/1", fmt.Sprintf("s%d", n), "k", "x").status == http.StatusOK
+	})
+	is.Equal(d.runs.Of(fmt.Sprintf("s%d", n)), 1)
+}
+
+// TestEnginesThatAskForAPause: when every chain needs an engine that wants nothing,
+// callers are told at once until when, and no layers move for it.
+func TestEnginesThatAskForAPause(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	d.eventually("layers are placed", func() bool { return d.generates("g" + strconv.Itoa(time.Now().Nanosecond())) })
+	layers := map[string][2]int{}
+	for _, e := range d.engines {
+		first, end := e.Layers()
+		layers[e.ID] = [2]int{first, end}
+		e.SetPause("2")
+		e.SetShedding(true)
+	}
+	n := 0
+	refused := reply{}
+	d.eventually("all first engines ask for a pause", func() bool {
+		n++
+		began := time.Now()
+		refused = d.ask(http.MethodPost, "/gen/x", fmt.Sprintf("s%d", n), "k", "prompt")
+		return refused.status == http.StatusServiceUnavailable && time.Since(began) < 100*time.Millisecond &&
+			strings.Contains(d.log.String(), "servers ask for a pause")
+	})
+	after, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after > 0 && after < 2.5)
+	for _, e := range d.engines {
+		e.SetShedding(false)
+	}
+	d.eventually("served after the pause", func() bool { n++; return d.generates(fmt.Sprintf("s%d", n)) })
+	for _, e := range d.engines {
+		first, end := e.Layers()
+		is.Equal([2]int{first, end}, layers[e.ID])
+	}
+}
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -12,6 +12,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/layout"
+	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/roster"
 	"github.com/cornelline/cornelline/platform"
 )
@@ -57,7 +58,7 @@
 			loading++
 			continue
 		}
-		if target := plan[u.ID]; target.Len() > 0 && target != u.Layers && (p == nil || p.target != target || now.Sub(p.since) > orderWait) {
+		if target := plan[u.ID]; target.Len() > 0 && target != u.Layers && !l.wantsNothing(u) && (p == nil || p.target != target || now.Sub(p.since) > orderWait) {
 			wanted = append(wanted, u)
 		}
 	}
@@ -78,6 +79,11 @@
 	}
 }
 
+// wantsNothing reports whether an engine asked for a pause, or ends.
+func (l *leader) wantsNothing(u roster.Upstream) bool {
+	return l.g.notices.state(time.Now(), notice.InstanceOf(u.ID, u.Born)) != notice.Open
+}
+
 // askAll asks every engine for its state when it is time: how fast it works, what
 // it holds and how much memory is in use.
 func (l *leader) askAll(ctx context.Context) {
@@ -94,7 +100,11 @@
 		l.g.spawn("order", func() {
 			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 			defer cancel()
+			if l.wantsNothing(u) {
+				return
+			}
 			report, err := l.g.servers.RegularReport(ctx, u.Address)
+			l.g.noticed(u.ID, u.Born, report.Notice)
 			if err != nil {
 				l.g.control.suspect(u.ID)
 				return
@@ -203,17 +213,19 @@
 		ctx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
 		defer cancel()
 		report, err := l.g.servers.Report(ctx, u.Address)
+		l.g.noticed(u.ID, u.Born, report.Notice)
 		if err != nil {
 			l.orderFailed(u, fence, "report", err)
 			return
 		}
 		l.g.control.post(func(now time.Time) { l.g.control.reported(now, u.ID, report) })
-		if report.Busy || report.Layers == target {
+		if report.Busy || report.Layers == target || l.wantsNothing(u) {
 			return
 		}
-		got, err := l.g.servers.Place(ctx, u.Address, u.ID, platform.Order{
+		got, said, err := l.g.servers.Place(ctx, u.Address, u.ID, platform.Order{
 			Layers: target, Fence: fence, Expected: report.Orders, Cut: cut,
 		})
+		l.g.noticed(u.ID, u.Born, said)
 		l.g.stats.Count("orders", "result", got.String())
 		l.g.log.Log(event.PlacementOrdered).Str("upstream", string(u.ID)).Stringer("layers", target).Stringer("held", report.Layers).
 			Uint64("epoch", fence).Int("expected", report.Orders).Str("result", got.String()).AnErr("cause", err).Send()
@@ -246,7 +258,11 @@
 		}
 		ctx, cancel := context.WithTimeout(l.g.running, orderTimeout)
 		defer cancel()
+		if l.wantsNothing(u) {
+			return
+		}
 		report, err := l.g.servers.Report(ctx, u.Address)
+		l.g.noticed(u.ID, u.Born, report.Notice)
 		if err != nil {
 			l.g.control.suspect(u.ID)
 			return
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -11,6 +11,7 @@
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/pkg/storeera"
 	"github.com/cornelline/cornelline/pkg/storewatch"
 	"github.com/cornelline/cornelline/pkg/wire"
 )
@@ -86,17 +87,17 @@
 	if !ok {
 		return nil, errUnknownMessage
 	}
-	offer := make(chan []byte, 1)
+	offer := make(chan *peering.ConfigOffer, 1)
 	g.control.post(func(time.Time) {
-		if g.control.catalog != nil && g.control.catalog.Version > want.Version {
-			offer <- g.control.config
+		if v := g.control.configuration.InForce(); g.control.catalog != nil && v.After(want.Version) {
+			offer <- &peering.ConfigOffer{Data: g.control.config, Reverted: v.Reverted}
 			return
 		}
-		offer <- nil
+		offer <- &peering.ConfigOffer{}
 	})
 	select {
-	case data := <-offer:
-		return &peering.ConfigOffer{Data: data}, nil
+	case o := <-offer:
+		return o, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -170,11 +171,13 @@
 	}
 	c.g.budgets.heard(now, s)
 	c.g.seeToken(s.Token)
+	c.heardNotices(now, s)
+	c.g.heardEra(s.Era, string(s.VM))
 	c.promised = true
-	if c.catalog == nil || s.Config > c.catalog.Version {
+	if offered := (storeera.Version{Reverted: s.Reverted, Number: s.Config}); offered.After(c.configuration.InForce()) {
 		c.fetchConfig(s.VM)
 	}
-	if !c.listed && s.Listed {
+	if s.Listed && (!c.listed || !c.askedList) {
 		c.fetchList(s.VM)
 	}
 }
@@ -234,8 +237,11 @@
 		Listed:  c.listed && now.Sub(c.listedAt) < listFresh,
 		Leading: c.g.leading.Load(), Token: c.g.token.Load(), Refused: c.g.returns.takeNews(), Budgets: c.g.budgets.news(now),
 	}
+	c.tellNotices(now, s)
+	s.Era = c.g.eras.era()
 	if c.catalog != nil {
-		s.Config = c.catalog.Version
+		v := c.configuration.InForce()
+		s.Config, s.Reverted = v.Number, v.Reverted
 	}
 	for _, gate := range c.gates {
 		s.Promises = gate.promises(s.Promises)
@@ -293,16 +299,13 @@
 		return
 	}
 	c.fetching = true
-	want := &peering.ConfigWant{}
-	if c.catalog != nil {
-		want.Version = c.catalog.Version
-	}
+	want := &peering.ConfigWant{Version: c.configuration.InForce()}
 	c.g.spawn("fetch", func() {
 		ctx, cancel := context.WithTimeout(c.g.running, fetchTimeout)
 		defer cancel()
 		answer, err := c.g.peers.Call(ctx, address, want)
 		if offer, ok := answer.(*peering.ConfigOffer); ok && len(offer.Data) > 0 {
-			c.configRead(offer.Data, string(vm))
+			c.configHeard(offer.Data, offer.Reverted, string(vm))
 		}
 		if err != nil {
 			c.g.stats.Count("config_fetches_failed")
@@ -323,8 +326,16 @@
 		ctx, cancel := context.WithTimeout(c.g.running, fetchTimeout)
 		defer cancel()
 		answer, err := c.g.peers.Call(ctx, address, &peering.ListWant{})
-		if offer, ok := answer.(*peering.ListOffer); ok && offer.Whole {
-			c.g.hearListing(offer.Listing)
+		if offer, ok := answer.(*peering.ListOffer); ok {
+			c.post(func(now time.Time) {
+				c.askedList = true
+				for _, i := range offer.Ends {
+					c.g.upstreamEnds(now, i, time.UnixMilli(i.Born), false)
+				}
+			})
+			if offer.Whole {
+				c.g.hearListing(offer.Listing)
+			}
 		}
 		if err != nil {
 			c.g.stats.Count("list_fetches_failed")
@@ -343,7 +354,7 @@
 	case <-time.After(fetchTimeout): // the follower waits for the store
 		return &peering.ListOffer{}, nil
 	}
-	return &peering.ListOffer{Listing: <-answer}, nil
+	return &peering.ListOffer{Listing: <-answer, Ends: g.notices.allEnds()}, nil
 }
 
 // hearListing hands another VM's listing to the follower of the list.
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -15,6 +15,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/result"
 	"github.com/cornelline/cornelline/platform"
 )
@@ -61,30 +62,31 @@
 func (c *call) plain(service *catalog.Service) {
 	avoid := make(map[fleet.UpstreamID]bool)
 	for connects := 0; ; connects++ {
-		s, full := c.pickPlain(service, avoid)
+		s, why := c.pickPlain(service, avoid)
 		if s == nil {
-			c.plainRefused(full)
+			c.plainRefused(why)
 			return
 		}
-		got, why := c.tryPlain(s)
+		got, cause := c.tryPlain(s)
 		avoid[s.id] = true
 		switch got {
 		case answered:
 			return
 		case left:
-			c.ended(why)
+			c.ended(cause)
 			return
 		case notRun:
 			if connects+1 < maxConnects && c.offers < c.route.Attempts && c.left() > leastLeft && c.mayRepeat(service, "not_run") {
 				continue
 			}
-			c.plainRefused(false)
+			_, why = c.pickPlain(service, avoid) // what stands in the way of a further send
+			c.plainRefused(why)
 			return
 		}
 		if c.mayAskAnother() && c.mayRepeat(service, "unknown") {
 			continue
 		}
-		c.fail(result.New(result.UpstreamUnknown, result.OutcomeUnknown, "the connection broke after the request was sent").WithCause(why))
+		c.fail(result.New(result.UpstreamUnknown, result.OutcomeUnknown, "the connection broke after the request was sent").WithCause(cause))
 		return
 	}
 }
@@ -97,12 +99,23 @@
 	return c.sendPlain(s)
 }
 
-func (c *call) plainRefused(full bool) {
+// noServer says why no server of a plain service takes a request.
+type noServer struct {
+	// full is set if servers exist that have no room.
+	full bool
+	// paused is when the first pause ends, if servers exist that want no requests for a
+	// time; zero otherwise.
+	paused time.Time
+}
+
+func (c *call) plainRefused(why noServer) {
 	switch {
 	case c.sends > 0:
 		c.fail(result.New(result.UpstreamFailed, result.OutcomeUnknown, "no further server takes the request"))
-	case full:
+	case why.full:
 		c.refuse(result.QueueFull, spread(shedRetryAfter))
+	case !why.paused.IsZero():
+		c.refuse(result.NoUpstream, time.Until(why.paused)+spread(shedRetryAfter))
 	default:
 		c.refuse(result.NoUpstream, spread(shedRetryAfter))
 	}
@@ -152,19 +165,32 @@
 }
 
 // pickPlain returns the server with the fewest requests of this VM, one of the
-// own data centre among equals. full says that servers exist and have no room.
-func (c *call) pickPlain(service *catalog.Service, avoid map[fleet.UpstreamID]bool) (best *plainServer, full bool) {
+// own data centre among equals, or why there is none.
+func (c *call) pickPlain(service *catalog.Service, avoid map[fleet.UpstreamID]bool) (best *plainServer, why noServer) {
 	servers := c.g.view.Load().plain[service.ID]
 	vms := max(c.view.vms, 1)
 	bestCost := 0.0
+	now := time.Now()
 	for i := range servers {
 		s := &servers[i]
-		if avoid[s.id] || s.weight <= 0 {
+		if s.weight <= 0 {
+			continue
+		}
+		switch c.g.notices.state(now, s.instance()) {
+		case notice.Ending:
+			continue
+		case notice.Paused:
+			if until := c.g.notices.pausedUntil(s.instance()); why.paused.IsZero() || until.Before(why.paused) {
+				why.paused = until
+			}
+			continue
+		}
+		if avoid[s.id] {
 			continue
 		}
 		running := s.load.running.Load()
 		if limit := max(int64(s.slots*(1+queueFactor)/vms), 2); running >= limit {
-			full = true
+			why.full = true
 			continue
 		}
 		cost := (float64(running) + 1) / s.weight
@@ -172,13 +198,19 @@
 			cost += foreignCost
 		}
 		cost += random() * foreignCost / 2
+		if now.Before(c.g.notices.hintedUntil(s.instance())) {
+			cost += sparedCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
-	return best, full
+	return best, why
 }
 
+// sparedCost is the handicap of a server that asked another VM for a pause, in requests.
+const sparedCost = 1
+
 // foreignCost is the handicap of a server in another data centre, in requests:
 // its hop takes a tenth of the usual work.
 const foreignCost = 0.1
@@ -207,6 +239,7 @@
 	}
 	defer answer.Close()
 	reply := platform.ParseReply(answer.Status, answer.Header)
+	c.g.noticed(s.id, s.born, reply.Notice)
 	if reply.NotRun && reply.WrongInstance {
 		c.g.control.suspect(s.id)
 		return notRun, nil
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -8,6 +8,7 @@
 	"github.com/cornelline/cornelline/pkg/chain"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/membership"
+	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/roster"
 )
 
@@ -45,11 +46,14 @@
 	service    catalog.ServiceID
 	address    string
 	dataCentre fleet.DataCentreID
+	born       time.Time
 	slots      int
 	weight     float64
 	load       *plainLoad
 }
 
+func (s *plainServer) instance() notice.Instance { return notice.InstanceOf(s.id, s.born) }
+
 func emptyView() *view { return &view{vms: 1, near: 1} }
 
 // publish makes a new view.
@@ -65,7 +69,8 @@
 	members := make([]roster.Upstream, 0, len(list))
 	for i, u := range list {
 		u.Layers = c.held(u)
-		u.Draining = u.Draining || c.refusing(now, u.ID)
+		instance := notice.InstanceOf(u.ID, u.Born)
+		u.Draining = u.Draining || c.refusing(now, u.ID) || c.g.notices.state(now, instance) == notice.Ending
 		list[i] = u
 		v.byAddress[u.Address] = u.ID
 		if !u.Draining {
@@ -113,6 +118,7 @@
 		servers = append(servers, chain.Server{
 			ID: u.ID, Address: u.Address, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card],
 			Layers: u.Layers, Weight: c.health.Weight(u.ID), Slowness: max(c.slow[u.ID], 1),
+			Born: u.Born, SparedUntil: c.g.notices.hintedUntil(notice.InstanceOf(u.ID, u.Born)),
 		})
 	}
 	return servers
@@ -126,7 +132,7 @@
 			continue
 		}
 		s := plainServer{
-			id: u.ID, service: id, address: u.Address, dataCentre: u.DataCentre, slots: u.Slots, weight: c.health.Weight(u.ID), load: &plainLoad{},
+			id: u.ID, service: id, address: u.Address, dataCentre: u.DataCentre, born: u.Born, slots: u.Slots, weight: c.health.Weight(u.ID), load: &plainLoad{},
 		}
 		for _, o := range old {
 			if o.id == u.ID {
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -5,7 +5,9 @@
 
 import (
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/pkg/storeera"
 )
 
 // State is a VM's regular news to the others.
@@ -29,8 +31,17 @@
 	// fencing token that it knows of.
 	Leading bool
 	Token   uint64
-	// Config is the version of the configuration in force.
-	Config uint64
+	// Config is the version of the configuration in force, Reverted the era in which the
+	// operator last went back to an older one.
+	Config   uint64
+	Reverted storeera.Era
+	// Era is the newest era of the store that the VM knows.
+	Era storeera.Era
+	// Ends are upstreams that said of late, in answers to the VM, that they are about to end.
+	Ends []notice.Instance
+	// Pauses are upstreams that want no requests of the VM for a time. For others that is a
+	// hint.
+	Pauses []notice.Pausing
 	// Promises are what the VM has promised to upstreams.
 	Promises []Promise
 	// Budgets are what the VM did within the last window of the retry budgets.
@@ -76,18 +87,26 @@
 	roster.Listing
 }
 
-// ConfigWant asks for the configuration if it is newer than a version.
-type ConfigWant struct{ Version uint64 }
+// ConfigWant asks for the configuration if it is newer than a version; a VM that has none
+// asks with a version of zero.
+type ConfigWant struct{ Version storeera.Version }
 
-// ConfigOffer is the newest configuration that a VM has, as it stands in the
+// ConfigOffer is the configuration that a VM has in force, as it stands in the
 // store; empty when it has none newer.
-type ConfigOffer struct{ Data []byte }
+type ConfigOffer struct {
+	Data     []byte
+	Reverted storeera.Era
+}
 
 // ListWant asks for the whole list of upstreams.
 type ListWant struct{}
 
 // ListOffer is the list of upstreams as a VM knows it; Whole is false when its own may be old.
-type ListOffer struct{ roster.Listing }
+type ListOffer struct {
+	roster.Listing
+	// Ends are the upstreams that are known to be about to end.
+	Ends []notice.Instance
+}
 
 // Crash reports that an upstream ended while it ran a request.
 type Crash struct {
--- a/pkg/roster/follower_test.go
+++ b/pkg/roster/follower_test.go
@@ -52,6 +52,7 @@
 			followers[i], rosters[i] = roster.NewFollower(), roster.New()
 		}
 		now, lost, reads := start, 0, 0
+		born := map[string]int{} // an upstream that ended comes back as a new incarnation
 		take := func(i int, l roster.Listing) {
 			l.SoundFor = roster.ReturnTime
 			rosters[i].Take(now, l, nil)
@@ -60,9 +61,13 @@
 			now = now.Add(time.Second)
 			for range 98 { // each upstream renews its entry; few of them change
 				id := string(rune('A' + random.IntN(98)))
-				u := upstream(id, "address of "+id, 0)
+				u := upstream(id, "address of "+id, born[id])
 				u.Draining = random.IntN(200) == 0
-				store = append(store, roster.Entry{Upstream: u, Removed: random.IntN(100) == 0})
+				removed := random.IntN(100) == 0
+				if removed {
+					born[id]++
+				}
+				store = append(store, roster.Entry{Upstream: u, Removed: removed})
 			}
 			reader := random.IntN(2)
 			if random.IntN(20) == 0 {
@@ -156,13 +161,16 @@
 		{Upstream: roster.Upstream{ID: "left"}, Removed: true},
 	}
 	old, started := roster.NewFollower(), roster.NewFollower()
-	is.True(!started.Adopt(old.Snapshot())) // nothing was read yet
+	_, adopted := started.Adopt(old.Snapshot())
+	is.True(!adopted) // nothing was read yet
 	store.read(old)
 	snapshot := old.Snapshot()
-	is.True(started.Adopt(snapshot))
+	_, adopted = started.Adopt(snapshot)
+	is.True(adopted)
 	is.Equal(len(snapshot.Changed), 1) // the upstream that left is not in use again
 	is.Equal(snapshot.Changed[0].ID, fleet.UpstreamID("stays"))
-	is.True(!started.Adopt(snapshot))
+	_, adopted = started.Adopt(snapshot)
+	is.True(!adopted)
 	is.True(!started.Hear(snapshot))
 
 	store = append(store, roster.Entry{Upstream: roster.Upstream{ID: "stays"}, Removed: true})
--- /dev/null
+++ b/pkg/roster/restore_test.go
@@ -0,0 +1,130 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/roster"
+)
+
+// TestStoreBackFromAnOlderCopy: upstreams that left since the copy stay out, those that
+// came since are back with their next renewal, and one whose entry was only missing for a
+// while is taken back once it renews it.
+func TestStoreBackFromAnOlderCopy(t *testing.T) {
+	is := is.New(t)
+	store := topic{
+		{Upstream: upstream("drained", "1", 0)}, {Upstream: upstream("silent", "2", 0)}, {Upstream: upstream("stays", "3", 0)},
+	}
+	copied := append(topic(nil), store...)
+	drains := upstream("drained", "1", 0)
+	drains.Draining = true
+	store = append(store, roster.Entry{Upstream: drains}, roster.Entry{Upstream: upstream("drained", "", 0), Removed: true},
+		roster.Entry{Upstream: upstream("silent", "", 0), Removed: true}, roster.Entry{Upstream: upstream("new", "4", 1)})
+
+	f, r, now := roster.NewFollower(), roster.New(), start
+	f.SetEra(1)
+	take := func(l roster.Listing) {
+		l.SoundFor = r.SoundFor(now)
+		r.Take(now, l, nil)
+		r.Tick(now, nil)
+	}
+	take(f.Read(store[:3], 3, true))
+	take(f.Read(store[3:4], 4, false))
+	take(f.Read(store[4:], uint64(len(store)), false))
+	is.Equal(ids(r), []fleet.UpstreamID{"new", "stays"})
+
+	now = now.Add(time.Second)
+	f.Restored(2)
+	store = copied
+	l := store.read(f)
+	is.True(l.Copied)
+	take(l)
+	is.Equal(ids(r), []fleet.UpstreamID{"new", "stays"}) // neither back nor gone
+
+	now = now.Add(time.Second)
+	store = append(store, roster.Entry{Upstream: upstream("new", "4", 1)}, roster.Entry{Upstream: upstream("silent", "2", 0)},
+		roster.Entry{Upstream: upstream("drained", "1", 0)}) // by a write that came late
+	take(store.read(f))
+	is.Equal(ids(r), []fleet.UpstreamID{"new", "silent", "stays"})
+
+	now = now.Add(roster.ReturnTime)
+	take(store.read(f))
+	is.Equal(ids(r), []fleet.UpstreamID{"new", "silent", "stays"})
+	store = append(store, roster.Entry{Upstream: upstream("drained", "1", 5)}) // a new start
+	take(store.read(f))
+	is.Equal(len(ids(r)), 4)
+}
+
+// TestUpstreamMissingInTheCopyIsGone: one that does not renew its entry within the time
+// that the platform states is gone.
+func TestUpstreamMissingInTheCopyIsGone(t *testing.T) {
+	is := is.New(t)
+	f, r, now := roster.NewFollower(), roster.New(), start
+	r.Take(now, f.Read([]roster.Entry{{Upstream: upstream("a", "1", 0)}}, 1, true), nil)
+	f.Restored(2)
+	l := f.Read(nil, 0, true)
+	r.Take(now, l, nil)
+	is.Equal(len(ids(r)), 1)
+	is.Equal(len(r.Tick(now.Add(roster.ReturnTime), nil)), 1)
+}
+
+// TestListingsOfAnotherEra: offsets of two eras look alike; a listing joins up only with
+// one of its own era, and the snapshot of the new one brings a VM there without a read.
+func TestListingsOfAnotherEra(t *testing.T) {
+	is := is.New(t)
+	reader, other := roster.NewFollower(), roster.NewFollower()
+	for _, f := range []*roster.Follower{reader, other} {
+		f.SetEra(1)
+		f.Read([]roster.Entry{{Upstream: upstream("a", "1", 0)}, {Upstream: upstream("b", "2", 0)}}, 5, true)
+	}
+	reader.Restored(2)
+	reader.Read([]roster.Entry{{Upstream: upstream("a", "1", 0)}}, 5, true)
+	next := reader.Read([]roster.Entry{{Upstream: upstream("c", "3", 0)}}, 6, false)
+	is.True(!other.Hear(next))
+	other.Restored(2)
+	is.True(!other.Hear(next)) // nothing of that era is known
+	l, adopted := other.Adopt(reader.Snapshot())
+	is.True(adopted)
+	is.Equal(l.Removed, []fleet.UpstreamID{"b"})
+	last := reader.Read([]roster.Entry{{Upstream: upstream("d", "4", 0)}}, 7, false)
+	is.True(other.Hear(last))
+	old := roster.Listing{Whole: true, To: 9, Era: 1}
+	_, adopted = other.Adopt(old)
+	is.True(!adopted)
+}
+
+// TestUpstreamThatSaysItLeaves: an entry that still says "ready" does not bring it back,
+// also not when it is listed only afterwards.
+func TestUpstreamThatSaysItLeaves(t *testing.T) {
+	is := is.New(t)
+	r := roster.New()
+	r.Put(upstream("a", "1", 0), nil)
+	changes := r.Leave(start, "a", start, nil)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Why, roster.Leaves)
+	is.Equal(len(r.Leave(start, "a", start, nil)), 0)
+	r.Put(upstream("a", "1", 0), nil)
+	a, _ := r.Get("a")
+	is.True(a.Draining)
+	r.Remove(start, "a", nil)
+	r.Put(upstream("a", "1", 0), nil)
+	is.Equal(len(ids(r)), 0)
+	r.Leave(start, "b", start, nil) // not listed yet
+	r.Put(upstream("b", "2", 0), nil)
+	is.Equal(len(ids(r)), 0)
+	r.Put(upstream("a", "1", 9), nil)
+	is.Equal(len(ids(r)), 1)
+}
+
+// TestAddressOfALaterStart: an entry of an earlier start, as an older copy of the store has
+// it, does not take an address from the upstream that has it now.
+func TestAddressOfALaterStart(t *testing.T) {
+	is := is.New(t)
+	r := roster.New()
+	r.Put(upstream("now", "1", 5), nil)
+	is.Equal(len(r.Put(upstream("before", "1", 0), nil)), 0)
+	is.Equal(ids(r), []fleet.UpstreamID{"now"})
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -38,9 +38,11 @@
 	AddressTaken
 	// Moved: the layers in its memory changed.
 	Moved
+	// Leaves: the upstream said in an answer that it is about to end.
+	Leaves
 )
 
-var reasonNames = [...]string{"listed", "drains", "removed", "lapsed", "address taken", "layers changed"}
+var reasonNames = [...]string{"listed", "drains", "removed", "lapsed", "address taken", "layers changed", "leaves"}
 
 // String returns the reason's name.
 func (r Reason) String() string { return reasonNames[r] }
@@ -53,18 +55,34 @@
 
 // Roster is the list of upstreams. It is not safe for concurrent use.
 // Invariants: an upstream that announced its end never becomes ready again in
-// the same incarnation; no two upstreams have the same address; an entry that was
-// removed while the store was sound is gone at once.
+// the same incarnation, also not by an older copy of the store; no two upstreams have the
+// same address; an entry that was removed while the store was sound is gone at once.
 type Roster struct {
 	entries map[fleet.UpstreamID]*entry
+	// departed are the last incarnations that are gone, for departedKept.
+	departed map[fleet.UpstreamID]departure
 	// outage is set from the first failed call to the first good one.
 	outage bool
 	// soundSince is the end of the last outage.
 	soundSince time.Time
 }
 
+// departure is the end of an incarnation.
+type departure struct {
+	born time.Time
+	when time.Time
+	// announced is set if the upstream said itself that it ends.
+	announced bool
+}
+
+// departedKept is how long an end is remembered: longer than the copy is old from which
+// the store comes back.
+const departedKept = 2 * time.Minute
+
 // New returns an empty roster.
-func New() *Roster { return &Roster{entries: make(map[fleet.UpstreamID]*entry)} }
+func New() *Roster {
+	return &Roster{entries: make(map[fleet.UpstreamID]*entry), departed: make(map[fleet.UpstreamID]departure)}
+}
 
 // StoreFailed notes a failed call to the store.
 func (r *Roster) StoreFailed(time.Time) { r.outage = true }
@@ -77,6 +95,10 @@
 	}
 }
 
+// Restored notes that the store came back from an older copy of itself: entries that are
+// missing there may come back.
+func (r *Roster) Restored(now time.Time) { r.outage, r.soundSince = false, now }
+
 // SoundFor returns how long the store has answered without a failure, at most ReturnTime.
 func (r *Roster) SoundFor(now time.Time) time.Duration {
 	switch {
@@ -93,7 +115,13 @@
 func (r *Roster) Take(now time.Time, l Listing, out []Change) []Change {
 	r.outage = false
 	r.soundSince = now.Add(-l.SoundFor)
+	if l.Copied {
+		r.Restored(now)
+	}
 	for _, u := range l.Changed {
+		if l.Copied && r.outdated(&u) {
+			continue
+		}
 		out = r.Put(u, out)
 	}
 	for _, id := range l.Removed {
@@ -102,18 +130,36 @@
 	return out
 }
 
+// outdated reports whether an entry of an older copy of the store says less than what is
+// known here: of an incarnation that is known, or that is gone.
+func (r *Roster) outdated(u *Upstream) bool {
+	if old := r.entries[u.ID]; old != nil && old.SameIncarnation(u) {
+		return true
+	}
+	d, gone := r.departed[u.ID]
+	return gone && !u.Born.After(d.born)
+}
+
 // Put takes in an entry.
 func (r *Roster) Put(u Upstream, out []Change) []Change {
 	old := r.entries[u.ID]
 	if old != nil && u.Born.Before(old.Born) {
 		return out // an entry of an earlier start that arrives late
 	}
+	if d, gone := r.departed[u.ID]; gone && !u.Born.After(d.born) && (d.announced || u.Born.Before(d.born)) {
+		return out
+	}
 	for id, other := range r.entries {
-		if id != u.ID && other.Address == u.Address && !other.Born.After(u.Born) {
-			delete(r.entries, id)
-			out = append(out, Change{Upstream: other.Upstream, Gone: true, Why: AddressTaken})
+		if id == u.ID || other.Address != u.Address {
+			continue
+		}
+		if other.Born.After(u.Born) {
+			return out // the address belongs to a later start
 		}
+		delete(r.entries, id)
+		out = append(out, Change{Upstream: other.Upstream, Gone: true, Why: AddressTaken})
 	}
+	delete(r.departed, u.ID)
 	if old == nil || !old.SameIncarnation(&u) {
 		r.entries[u.ID] = &entry{Upstream: u}
 		return append(out, Change{Upstream: u, Why: Listed})
@@ -140,21 +186,47 @@
 		return out
 	}
 	if r.sound(now) || e.Draining {
-		delete(r.entries, id)
+		r.depart(now, e)
 		return append(out, Change{Upstream: e.Upstream, Gone: true, Why: Removed})
 	}
 	e.lapsed = now
 	return out
 }
 
+// depart drops an entry and remembers its incarnation.
+func (r *Roster) depart(now time.Time, e *entry) {
+	delete(r.entries, e.ID)
+	r.departed[e.ID] = departure{born: e.Born, when: now, announced: e.Draining}
+}
+
+// Leave notes that an upstream said in an answer that it is about to end.
+func (r *Roster) Leave(now time.Time, id fleet.UpstreamID, born time.Time, out []Change) []Change {
+	e := r.entries[id]
+	switch {
+	case e == nil:
+		if d, gone := r.departed[id]; !gone || !born.Before(d.born) {
+			r.departed[id] = departure{born: born, when: now, announced: true}
+		}
+	case e.Born.Equal(born) && !e.Draining:
+		e.Draining = true
+		out = append(out, Change{Upstream: e.Upstream, Why: Leaves})
+	}
+	return out
+}
+
 // Tick removes entries that lapsed and did not come back.
 func (r *Roster) Tick(now time.Time, out []Change) []Change {
+	for id, d := range r.departed {
+		if now.Sub(d.when) >= departedKept {
+			delete(r.departed, id)
+		}
+	}
 	if !r.sound(now) {
 		return out
 	}
-	for id, e := range r.entries {
+	for _, e := range r.entries {
 		if !e.lapsed.IsZero() {
-			delete(r.entries, id)
+			r.depart(now, e)
 			out = append(out, Change{Upstream: e.Upstream, Gone: true, Why: Lapsed})
 		}
 	}
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -37,13 +37,59 @@
 type Plain struct {
 	ID   string
 	Runs *Runs
-	// Arrived is called with the id of each request that reaches the server; it may be nil.
+	// Arrived is called with the id of each request that reaches the server, Probed for
+	// each question for its health; they may be nil.
 	Arrived func(id string)
+	Probed  func()
 	mu      sync.Mutex
 	// fault is how the next requests end: "", "shed", "reset", "error", "refuse" (503
 	// without the promise that the request did not run), "extra" (a second answer, of
 	// another request, follows the own one).
 	fault string
+	Notice
+}
+
+// Notice is what a server says of itself in its answers.
+type Notice struct {
+	mu      sync.Mutex
+	leaving bool
+	// pause is the Retry-After of refusals, empty for none.
+	pause string
+}
+
+// SetLeaving makes the server say in all answers that it is about to end, or no longer does.
+func (n *Notice) SetLeaving(leaving bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = leaving
+}
+
+// SetPause sets the Retry-After of refusals.
+func (n *Notice) SetPause(pause string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pause = pause
+}
+
+// say sets the headers of an answer.
+func (n *Notice) say(w http.ResponseWriter) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+}
+
+// refuse answers that a request did not run, with the pause if one is set.
+func (n *Notice) refuse(w http.ResponseWriter) {
+	n.mu.Lock()
+	pause := n.pause
+	n.mu.Unlock()
+	if pause != "" {
+		w.Header().Set("Retry-After", pause)
+	}
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // Entry returns the server's entry in the store; born is the time of its start in
@@ -65,7 +111,11 @@
 // ServeHTTP runs a request.
 func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Instance-Id", p.ID)
+	p.say(w)
 	if r.URL.Path == "/health" {
+		if p.Probed != nil {
+			p.Probed()
+		}
 		return
 	}
 	p.mu.Lock()
@@ -81,8 +131,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case fault == "shed":
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		p.refuse(w)
 		return
 	}
 	p.Runs.add(id)
@@ -148,8 +197,26 @@
 	// breakAfter ends the next stream after so many events; 0 for none.
 	breakAfter int
 	// failing answers each generation with an error of the engine's own, though its
-	// reports are good.
-	failing bool
+	// reports are good; shedding refuses each one.
+	failing  bool
+	shedding bool
+	// Arrived is called for each request that reaches the engine, with its path, also for
+	// the parts of chains; it may be nil.
+	Arrived func(path string)
+	Notice
+}
+
+// SetShedding makes the engine refuse all generations, or no longer does.
+func (e *Engine) SetShedding(shedding bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.shedding = shedding
+}
+
+func (e *Engine) arrived(path string) {
+	if e.Arrived != nil {
+		e.Arrived(path)
+	}
 }
 
 // Entry returns the engine's entry in the store.
@@ -193,6 +260,10 @@
 
 // ServeHTTP answers requests, reports and orders.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.say(w)
+	if r.Header.Get("Hop-Count") == "" {
+		e.arrived(r.URL.Path)
+	}
 	switch r.URL.Path {
 	case "/v1/report":
 		e.report(w)
@@ -271,6 +342,7 @@
 		if peer == nil {
 			return address, http.StatusServiceUnavailable, ""
 		}
+		peer.arrived("part")
 		if status, ok := peer.holds(first, end); !ok {
 			return address, status, ""
 		}
@@ -291,6 +363,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.mu.Lock()
+	shedding := e.shedding
+	e.mu.Unlock()
+	if shedding {
+		e.arrived("part")
+		e.refuse(w)
+		return
+	}
 	fault, status, problem := e.checkChain(r.Header.Get("Hop-Count"), testLayers)
 	if problem != "" {
 		http.Error(w, problem, http.StatusTeapot)
--- a/pkg/standin/userplatform/store.go
+++ b/pkg/standin/userplatform/store.go
@@ -8,7 +8,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,11 +48,64 @@
 	calls  int
 	// reads counts the reads of each topic.
 	reads map[string]int
+	// era rises with each Restore; 0 leaves its header out.
+	era int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: map[string]*topic{}, groups: map[string]*group{}, reads: map[string]int{}, change: make(chan struct{})}
+	return &Store{topics: map[string]*topic{}, groups: map[string]*group{}, reads: map[string]int{}, change: make(chan struct{}), era: 1}
+}
+
+// Copy is the store's content at a moment.
+type Copy struct {
+	topics map[string]topic
+	groups map[string]group
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{topics: map[string]topic{}, groups: map[string]group{}}
+	for name, t := range s.topics {
+		c.topics[name] = topic{records: slices.Clone(t.records), first: t.first}
+	}
+	for name, g := range s.groups {
+		c.groups[name] = group{generation: g.generation, members: maps.Clone(g.members), holder: g.holder}
+	}
+	return c
+}
+
+// Restore brings the store back from a copy: what was written since is gone, and offsets
+// are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics, s.groups = map[string]*topic{}, map[string]*group{}
+	for name, t := range c.topics {
+		s.topics[name] = &topic{records: slices.Clone(t.records), first: t.first}
+	}
+	for name, g := range c.groups {
+		s.groups[name] = &group{generation: g.generation, members: maps.Clone(g.members), holder: g.holder}
+	}
+	s.era++
+	close(s.change) // reads that wait look again
+	s.change = make(chan struct{})
+}
+
+// SetEra sets the era that the answers name; 0 leaves the header out.
+func (s *Store) SetEra(era int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// nameEra sets the header of the era. Callers hold the lock.
+func (s *Store) nameEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	}
 }
 
 // SetDown switches the answers off or on.
@@ -145,6 +200,7 @@
 		s.reads[r.URL.Query().Get("topic")]++
 	}
 	down, silent := s.down, s.silent
+	s.nameEra(w)
 	s.mu.Unlock()
 	if silent {
 		_, _ = io.Copy(io.Discard, r.Body) // the server notices that a caller left only behind the body
@@ -212,7 +268,8 @@
 		if t == nil {
 			t = &topic{}
 		}
-		if from < t.first {
+		s.nameEra(w) // the store may have come back meanwhile
+		if from < t.first || from > len(t.records) {
 			first := t.first
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
@@ -222,7 +279,7 @@
 		if from < len(t.records) || wait == 0 {
 			body := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
 			body = binary.BigEndian.AppendUint64(body, uint64(t.first))
-			for _, rec := range t.records[min(from, len(t.records)):] {
+			for _, rec := range t.records[from:] {
 				body = binary.BigEndian.AppendUint32(body, uint32(1+len(rec.key)+len(rec.value)))
 				body = append(append(append(body, byte(len(rec.key))), rec.key...), rec.value...)
 			}
@@ -246,7 +303,19 @@
 	if err != nil {
 		return
 	}
+	name := r.URL.Query().Get("topic")
 	s.mu.Lock()
+	if at := r.URL.Query().Get("at"); at != "" {
+		end := 0
+		if t := s.topics[name]; t != nil {
+			end = len(t.records)
+		}
+		if at != strconv.Itoa(end) {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
 	for len(body) >= 4 {
 		size := int(binary.BigEndian.Uint32(body))
 		rec := body[4 : 4+size]
@@ -256,7 +325,7 @@
 			n := 1 + int(rec[0])
 			entry = record{key: string(rec[1:n]), value: rec[n:]}
 		}
-		s.append(r.URL.Query().Get("topic"), entry)
+		s.append(name, entry)
 	}
 	lose := s.lose
 	s.mu.Unlock()
