--- /dev/null
+++ b/pkg/chain/pause_test.go
@@ -0,0 +1,62 @@
+package chain_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/chain"
+)
+
+// TestServersThatAskForAPause: other chains are used meanwhile; when every chain needs one
+// of them, the earliest time at which one is complete is known.
+func TestServersThatAskForAPause(t *testing.T) {
+	is := is.New(t)
+	b := chain.New(testEngine(), "a")
+	list := append(chainOf("s", "a", slow, 8), server("x", "a", fast, 0, 40), server("y", "a", fast, 40, 80))
+	b.SetServers(list)
+	b.Pause("x", start.Add(3*time.Second))
+	b.Pause("x", start.Add(time.Second)) // does not end the longer one
+	c, failure := b.Reserve(start, need, nil)
+	is.Equal(failure, chain.NoFailure)
+	for _, s := range c.Stages {
+		is.True(s.Server != "x")
+	}
+	b.Pause("s8", start.Add(2*time.Second))
+	b.Pause("s16", start.Add(5*time.Second))
+	b.Pause("y", start.Add(9*time.Second))
+	_, failure = b.Reserve(start, need, nil)
+	is.Equal(failure, chain.Paused)
+	is.Equal(b.PausedUntil(start), start.Add(3*time.Second)) // x to 40, then the slow ones
+	_, failure = b.Reserve(start.Add(3*time.Second), need, nil)
+	is.Equal(failure, chain.NoFailure)
+
+	restarted := list[len(list)-2]
+	restarted.Born = start
+	b.SetServers([]chain.Server{restarted, list[len(list)-1]})
+	b.Pause("y", start)
+	_, failure = b.Reserve(start.Add(9*time.Second), need, nil)
+	is.Equal(failure, chain.NoFailure)
+
+	b.SetServers(list[:1])
+	b.Pause("s0", start.Add(time.Second))
+	_, failure = b.Reserve(start, need, nil)
+	is.Equal(failure, chain.Incomplete) // the end of the pause would not help
+}
+
+// TestServerThatSparesAnotherVM: a server that asked another VM for a pause is taken only
+// while the others cost more.
+func TestServerThatSparesAnotherVM(t *testing.T) {
+	is := is.New(t)
+	b := chain.New(testEngine(), "a")
+	one, two := server("one", "a", slow, 0, 80), server("two", "a", slow, 0, 80)
+	one.SparedUntil = start.Add(time.Second)
+	one.Card.MemoryMB, two.Card.MemoryMB = 200000, 200000
+	b.SetServers([]chain.Server{one, two})
+	c, _ := b.Reserve(start, need, nil)
+	is.Equal(string(c.Stages[0].Server), "two")
+	b.SetServers([]chain.Server{one})
+	_, failure := b.Reserve(start, need, nil)
+	is.Equal(failure, chain.NoFailure) // a hint, no ban
+}
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -19,6 +19,7 @@
 type flood struct {
 	t       *testing.T
 	queue   *dispatch.Queue
+	book    *chain.Book
 	now     time.Time
 	next    int
 	open    map[fleet.RequestID]dispatch.Request
@@ -65,7 +66,7 @@
 	}
 	book.SetServers(servers)
 	return &flood{
-		t: t, queue: dispatch.New(dispatch.DefaultConfig(), book, func() float64 { return 0.5 }), now: start,
+		t: t, queue: dispatch.New(dispatch.DefaultConfig(), book, func() float64 { return 0.5 }), book: book, now: start,
 		open: map[fleet.RequestID]dispatch.Request{}, arrived: map[fleet.RequestID]time.Time{},
 		started: map[int]int{}, onTime: map[int]int{}, refused: map[int]int{}, teams: map[fleet.TeamID]int{},
 	}
--- /dev/null
+++ b/pkg/dispatch/pause_test.go
@@ -0,0 +1,54 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/chain"
+	"github.com/cornelline/cornelline/pkg/dispatch"
+	"github.com/cornelline/cornelline/pkg/fleet"
+)
+
+// TestAllEnginesAskForAPauseUnderLoad: a full load meets engines that all want nothing for
+// two seconds. Those that wait and those that come are told at once until when, nobody is
+// held, and the ones that come back then are served.
+func TestAllEnginesAskForAPauseUnderLoad(t *testing.T) {
+	is := is.New(t)
+	f := newFlood(t)
+	request := func(i int) dispatch.Request {
+		return dispatch.Request{
+			ID: fleet.RequestID(fmt.Sprint("p", i)), Team: fleet.TeamID(fmt.Sprint(i % 5)), Rank: 1,
+			Objective: objective, Patience: patience, Need: chain.Need{Prompt: 800, Answer: 200},
+		}
+	}
+	waiting := 0
+	for i := range 400 { // far more than there is room for
+		waiting++
+		for range f.queue.Arrive(f.now, request(i), nil) {
+			waiting--
+		}
+	}
+	is.True(waiting > 0)
+	until := f.now.Add(2 * time.Second)
+	for first := 0; first < 80; first += 8 {
+		f.book.Pause(fleet.UpstreamID(fmt.Sprint(first)), until)
+	}
+	refused := f.queue.Tick(f.now, nil)
+	is.Equal(len(refused), waiting)
+	for i := range 50 {
+		refused = append(refused, f.queue.Arrive(f.now, request(1000+i), nil)...)
+	}
+	is.Equal(len(refused), waiting+50)
+	for _, a := range refused {
+		is.True(a.Chain == nil)
+		is.Equal(a.Why, chain.Paused)
+		is.True(a.RetryAfter >= 2*time.Second && a.RetryAfter < 2500*time.Millisecond)
+	}
+	is.Equal(f.queue.Waiting(), 0)
+	f.now = until
+	back := f.queue.Arrive(f.now, request(5000), nil)
+	is.True(len(back) == 0 || back[0].Why != chain.Paused)
+}
--- a/pkg/logstory/logstory.go
+++ b/pkg/logstory/logstory.go
@@ -81,11 +81,12 @@
 // beliefNames are the events that change what a VM believes.
 var beliefNames = map[string]bool{
 	"upstream_changed": true, "upstream_ejected": true, "upstream_returned": true, "upstream_slow": true, "upstream_refusing": true,
+	"upstream_paused": true, "store_restored": true,
 	"config_in_force": true, "log_unavailable": true, "log_back": true, "placement_lease_taken": true, "placement_lease_lost": true,
 }
 
 // markers are parts of the lines that are decoded; all others are only counted.
-var beliefMarkers = [][]byte{[]byte(`"name":"upstream_`), []byte(`"name":"config_`), []byte(`"name":"log_`), []byte(`"name":"placement_lease`), []byte(`"name":"started"`)}
+var beliefMarkers = [][]byte{[]byte(`"name":"upstream_`), []byte(`"name":"config_`), []byte(`"name":"log_`), []byte(`"name":"store_`), []byte(`"name":"placement_lease`), []byte(`"name":"started"`)}
 
 // Add reads one log. progress is called now and then with the bytes read; it may be nil.
 func (s *Story) Add(r io.Reader, progress func(bytes int64)) error {
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -15,7 +15,7 @@
 // faults are drawn with equal chances; several may hold at once, also of one kind.
 var faults = []fault{
 	killVM, pauseVM, terminateVM, killAll, cutStore, cutStore, hurtServer, hurtServer, resetLinks, plainFault, breakStream, breakAll,
-	loseWrites, storeDown, forget, rebalance, changeConfig, drainPlain,
+	loseWrites, storeDown, forget, rebalance, changeConfig, drainPlain, leavePlain, pausePlain, restoreStore,
 }
 
 // disturb injects faults until the calm at the end.
@@ -169,6 +169,51 @@
 	return fmt.Sprintf("configuration %d", version), nil
 }
 
+// leavePlain lets a plain server say in its answers that it ends, while its entry stays.
+func leavePlain(w *World) (string, func()) {
+	p := w.plain[w.random.IntN(len(w.plain))]
+	if !w.checker.drains(p.ID) {
+		return "no leave: " + p.ID + " drains already", nil
+	}
+	p.SetLeaving(true)
+	return drainName + p.ID + " by its answers only", func() {
+		w.checker.returns(p.ID)
+		p.SetLeaving(false)
+		p.born = time.Now().UnixMilli()
+		w.list(p, "ready")
+	}
+}
+
+// pausePlain lets a plain server refuse all with a pause.
+func pausePlain(w *World) (string, func()) {
+	p := w.plain[w.random.IntN(len(w.plain))]
+	pause := []string{"0.5", "2", "-1", "soon", "Fri, 04 Dec 2026 12:00:00 GMT"}[w.random.IntN(5)]
+	p.SetPause(pause)
+	p.SetFault("shed")
+	return fmt.Sprintf("server %s asks for a pause of %q", p.ID, pause), func() { p.SetFault(""); p.SetPause("") }
+}
+
+// restoreStore brings the store back from a copy of this moment. What the operator and the
+// servers wrote since is written again a little later.
+func restoreStore(w *World) (string, func()) {
+	older := w.store.Copy()
+	return "the store's content is copied", func() {
+		for _, v := range w.vms {
+			v.Disturb()
+		}
+		w.store.Restore(older)
+		w.note("the store came back from the copy")
+		time.Sleep(rewriteAfter)
+		w.rewrite()
+		for _, v := range w.vms {
+			v.Disturb()
+		}
+	}
+}
+
+// rewriteAfter is the time after which the platform has written again what a copy lacks.
+const rewriteAfter = 800 * time.Millisecond
+
 const drainName = "drain "
 
 // drainPlain announces the end of a plain server and takes it back as a new start.
@@ -180,7 +225,7 @@
 	w.list(p, "draining")
 	return drainName + p.ID, func() {
 		w.checker.returns(p.ID)
-		w.store.Put("keyed.servers", p.ID, nil)
+		w.list(p, "")
 		p.born = time.Now().UnixMilli()
 		w.list(p, "ready")
 	}
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -77,6 +77,8 @@
 	*userplatform.Plain
 	link *Link
 	born int64 // milliseconds; each start of the server is a new one
+	// state is what the entry says, empty without one.
+	state string
 }
 
 type engineServer struct {
@@ -202,9 +204,35 @@
 	return NewLink(s.Listener.Addr().String())
 }
 
-// list writes a plain server's entry.
+// list writes a plain server's entry, or drops it without a state.
 func (w *World) list(p *plainServer, state string) {
-	w.store.Put("keyed.servers", p.ID, p.Entry(p.link.Address(), state, plainSlots, p.born))
+	w.mu.Lock()
+	p.state = state
+	w.mu.Unlock()
+	w.writeEntry(p)
+}
+
+func (w *World) writeEntry(p *plainServer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var entry []byte
+	if p.state != "" {
+		entry = p.Entry(p.link.Address(), p.state, plainSlots, p.born)
+	}
+	w.store.Put("keyed.servers", p.ID, entry)
+}
+
+// rewrite writes all entries and the configuration again as they are.
+func (w *World) rewrite() {
+	for _, p := range w.plain {
+		w.writeEntry(p)
+	}
+	for _, e := range w.engines {
+		e.Changed(e.Engine)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.Put("keyed.op", "config", w.config())
 }
 
 // config returns the operator's configuration; callers hold the lock or run alone.
--- a/pkg/storeera/storeera_test.go
+++ b/pkg/storeera/storeera_test.go
@@ -67,7 +67,7 @@
 	c.Read(start, storeera.Record{Number: 5, Era: 2, Offset: 10})
 	for i, number := range []uint64{6, 7} {
 		is.True(!c.Read(start.Add(time.Duration(i)*time.Second), storeera.Record{Number: number, Era: 2, Offset: uint64(11 + i), Appended: true}))
-		is.True(!c.Tick(start.Add(time.Duration(i)*time.Second)))
+		is.True(!c.Tick(start.Add(time.Duration(i) * time.Second)))
 	}
 	is.True(!c.Tick(start.Add(time.Minute)))
 	is.Equal(c.InForce().Number, uint64(7))
