One decision of all VMs about stops, and a directory that leaves out silent VMs sooner

Cause: while all VMs stop (SIGTERM a second apart), each one's directory named only itself, so that callers went on to VMs that took no more generations while the one ordered last still did; they were told to come back at a random time. A VM that lost power was named for 2.5 s more.

Change: pkg/handover, pure: VMs tell since when they stop and until when; callers are sent to ready VMs, otherwise to the one ordered last, otherwise told when the first is back. A VM without news for five intervals is not named.

Ruled out: taking generations later than 3 s after the order. A tenth of them last over 7 s (215 events of 36 ms), so that the end of the grace time would cut them, which the platform excuses only if they were sent within 3 s.

What is left of a dark VM: its streams in flight and callers who keep its address for 1 to 3 s.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -13,6 +13,7 @@
 	"github.com/cornelline/cornelline/pkg/catalog"
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/handover"
 	"github.com/cornelline/cornelline/pkg/result"
 	"github.com/cornelline/cornelline/platform"
 )
@@ -91,20 +92,11 @@
 	// configRetryAfter is when callers come back to a VM that knows no
 	// configuration yet: it reads one within a second of its start if the store answers.
 	configRetryAfter = time.Second
-	// stopRetryAfter is when callers of a stopping VM come back, which is at once to
-	// another address.
-	stopRetryAfter = 100 * time.Millisecond
-	// restartRetryAfter is the same while all VMs stop: the first of them is back
-	// after a part of its grace time.
-	restartRetryAfter = 2500 * time.Millisecond
 )
 
 // stopRetry returns when callers of a stopping VM come back.
 func (c *call) stopRetry() time.Duration {
-	if c.view.othersAccept {
-		return stopRetryAfter
-	}
-	return spread(restartRetryAfter)
+	return handover.ComeBack(time.Now(), c.g.self(), c.view.others, random())
 }
 
 // prepare checks the request and fills in what routing needs.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -88,6 +88,10 @@
 	news     peering.NewsTimer
 	farNews  peering.NewsTimer
 	prunedAt time.Time
+	// tickedAt is the last tick; judgeFrom is until when silent VMs are not judged after a
+	// pause of this VM's own.
+	tickedAt  time.Time
+	judgeFrom time.Time
 }
 
 // heldLayers are the layers that an engine itself reported, newer than its entry
@@ -207,6 +211,7 @@
 		c.assignDuty(now)
 	}
 	c.tellPeers(now)
+	c.judgeQuiet(now)
 	c.forgetPeers(now)
 	c.shareOthers()
 	for _, gate := range c.gates {
--- a/pkg/gateway/directory.go
+++ b/pkg/gateway/directory.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cornelline/cornelline/pkg/handover"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -47,8 +48,8 @@
 	}
 	v := g.view.Load()
 	addresses := v.addresses
-	if len(addresses) == 0 { // all known VMs stop: their listeners still answer
-		addresses = []string{g.settings.Self.Address}
+	if self := g.self(); self.Stopping { // what it takes, and for how long, changes with time
+		addresses = handover.Named(time.Now(), append([]handover.VM{self}, v.others...))
 	}
 	if len(addresses) > maxAddresses {
 		start := int(random() * float64(len(addresses)))
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -16,6 +16,7 @@
 	"github.com/cornelline/cornelline/pkg/eventstream"
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/handover"
 	"github.com/cornelline/cornelline/pkg/result"
 	"github.com/cornelline/cornelline/platform"
 )
@@ -67,7 +68,7 @@
 		c.refuse(result.NoUpstream, configRetryAfter)
 		return
 	}
-	if !c.g.stopper.takesGeneration(c.arrived, c.longest(service), c.view.othersAccept) {
+	if !handover.TakesGeneration(c.arrived, c.g.self(), c.view.others, c.longest(service)) {
 		c.refuse(result.Draining, c.stopRetry())
 		return
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/cornelline/cornelline/pkg/chain"
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/handover"
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/roster"
@@ -34,6 +35,8 @@
 type peerState struct {
 	peering.State
 	heard time.Time
+	// quiet is set while callers are not sent there because no news comes.
+	quiet bool
 }
 
 // restartSilence is the time without news after which a process of a VM that names an
@@ -141,8 +144,8 @@
 	if old != nil && !old.precedes(s, now) {
 		return
 	}
-	if old == nil {
-		c.dirty = true // callers may be sent there from now on
+	if old == nil || old.quiet || old.Stopping != s.Stopping {
+		c.dirty = true // callers may be sent there from now on, or no more
 	}
 	c.peers[s.VM] = &peerState{State: *s, heard: now}
 	if s.Leading && !c.g.leading.Load() {
@@ -215,6 +218,31 @@
 	}
 }
 
+// judgeQuiet notes which VMs callers are not sent to because no news comes from them. After
+// a pause of this VM's own it is the news that waits to be read.
+func (c *control) judgeQuiet(now time.Time) {
+	v := c.g.view.Load()
+	if now.Sub(c.tickedAt) > ownPause {
+		c.judgeFrom = now.Add(peering.FarInterval(v.vms))
+	}
+	c.tickedAt = now
+	if now.Before(c.judgeFrom) {
+		return
+	}
+	for id, p := range c.peers {
+		interval := peering.FarInterval(v.vms)
+		if v.nearby[id] {
+			interval = peering.NewsInterval(v.near)
+		}
+		if quiet := handover.Quiet(now, p.heard, interval); quiet != p.quiet {
+			p.quiet, c.dirty = quiet, true
+		}
+	}
+}
+
+// ownPause is the time between two ticks that tells that this VM stood still.
+const ownPause = 4 * controlTick
+
 // tellPeers sends this VM's news to the others when it is time: more often to those of
 // its data centre.
 func (c *control) tellPeers(now time.Time) {
@@ -237,6 +265,9 @@
 		Listed:  c.listed && now.Sub(c.listedAt) < listFresh,
 		Leading: c.g.leading.Load(), Token: c.g.token.Load(), Refused: c.g.returns.takeNews(), Budgets: c.g.budgets.news(now),
 	}
+	if self := c.g.self(); self.Stopping {
+		s.OrderedAgo, s.ExitIn = now.Sub(self.Ordered), self.Exit.Sub(now)
+	}
 	c.tellNotices(now, s)
 	s.Era = c.g.eras.era()
 	if c.catalog != nil {
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -5,15 +5,14 @@
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/handover"
 )
 
 const (
 	// acceptShare is the part of the grace time in which a stopping VM still takes
-	// requests: callers keep addresses for up to three times addressTTL.
+	// requests: callers keep addresses for up to three times addressTTL. Generations, which
+	// take seconds and must end within the grace time, are up to pkg/handover.
 	acceptShare = 0.5
-	// generationShare is the same for generations, which take seconds and must end
-	// within the grace time.
-	generationShare = 0.3
 	// exitMargin is kept before the platform's kill.
 	exitMargin = 700 * time.Millisecond
 	// leastStop is how long a stopping VM stays though it is idle, so that callers
@@ -31,12 +30,9 @@
 type stopper struct {
 	mu       sync.Mutex
 	inFlight int
-	stop     bool
 	refuse   bool
-	// lastGeneration is when a stopping VM takes the last generation while others
-	// take them; end is when it exits at the latest.
-	lastGeneration time.Time
-	end            time.Time
+	// stop is set, with its times, once this VM was ordered to stop.
+	stop handover.VM
 }
 
 func newStopper() *stopper { return &stopper{} }
@@ -61,26 +57,22 @@
 func (s *stopper) stopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stop
+	return s.stop.Stopping
 }
 
-func (s *stopper) begin(lastGeneration, end time.Time) {
+func (s *stopper) begin(ordered, exit time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stop = true
-	s.lastGeneration, s.end = lastGeneration, end
+	s.stop = handover.VM{Stopping: true, Ordered: ordered, Exit: exit}
 }
 
-// takesGeneration reports whether a generation may start now that takes up to a
-// time. A stopping VM leaves them to the others soon, but while there are no
-// others it takes those that end before it exits.
-func (s *stopper) takesGeneration(now time.Time, longest time.Duration, others bool) bool {
+// self returns what pkg/handover is to know of this VM.
+func (s *stopper) self(address string) handover.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.stop || now.Before(s.lastGeneration) {
-		return true
-	}
-	return !others && now.Add(longest).Before(s.end)
+	v := s.stop
+	v.Address = address
+	return v
 }
 
 func (s *stopper) refuseNew() {
@@ -102,11 +94,13 @@
 	grace := g.bounds.Load().Grace
 	g.log.Log(event.DrainStarted).Int("in_flight", g.stopper.running()).Int64("grace_ms", grace.Milliseconds()).Send()
 	end := began.Add(grace - exitMargin)
-	g.stopper.begin(began.Add(time.Duration(generationShare*float64(grace))), end)
+	g.stopper.begin(began, end)
 	g.control.post(func(now time.Time) {
 		g.control.members.Drain()
 		g.control.send(g.control.members.Tick(now))
 		g.control.dirty = true
+		g.control.news.TellNow()
+		g.control.farNews.TellNow()
 	})
 	acceptUntil := began.Add(time.Duration(acceptShare * float64(grace)))
 	for now := began; now.Before(end); now = time.Now() {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/catalog"
 	"github.com/cornelline/cornelline/pkg/chain"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/handover"
 	"github.com/cornelline/cornelline/pkg/membership"
 	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/roster"
@@ -26,13 +26,14 @@
 	list      []roster.Upstream
 	// vms counts the live VMs, this one included.
 	vms int
-	// addresses are where callers may connect.
+	// addresses are where callers are sent while a VM is ready; others are the other VMs.
 	addresses []string
+	others    []handover.VM
 	peers     map[fleet.VMID]string
 	// near counts those of them in the own data centre, this one included; nearby names them.
 	near   int
 	nearby map[fleet.VMID]bool
-	// othersAccept is set while another VM takes callers.
+	// othersAccept is set while another VM takes all that comes.
 	othersAccept bool
 	// listed is set once the list of upstreams was read.
 	listed bool
@@ -150,9 +151,6 @@
 	v.peers = make(map[fleet.VMID]string, len(members.Members))
 	v.nearby = make(map[fleet.VMID]bool)
 	v.vms, v.near = 1, 1
-	if !c.g.stopper.stopping() {
-		v.addresses = append(v.addresses, c.g.settings.Self.Address)
-	}
 	for _, m := range members.Members {
 		v.peers[m.ID] = m.PeerAddress
 		v.vms++
@@ -162,10 +160,17 @@
 		}
 		// Membership takes many seconds in a large fleet to find that a VM ended; one that
 		// is not heard of late takes no callers.
-		if m.Status == membership.Alive && !m.Leaving && c.peers[m.ID] != nil {
-			v.addresses = append(v.addresses, m.Address)
-			v.othersAccept = true
+		if p := c.peers[m.ID]; m.Status == membership.Alive && p != nil {
+			other := handover.VM{Address: m.Address, Quiet: p.quiet, Stopping: p.Stopping || m.Leaving}
+			if p.Stopping {
+				other.Ordered, other.Exit = p.heard.Add(-p.OrderedAgo), p.heard.Add(p.ExitIn)
+			}
+			v.others = append(v.others, other)
 		}
 	}
-	slices.Sort(v.addresses)
+	v.othersAccept = handover.Ready(v.others)
+	v.addresses = handover.Named(time.Now(), append([]handover.VM{c.g.self()}, v.others...))
 }
+
+// self returns what pkg/handover is to know of this VM.
+func (g *Gateway) self() handover.VM { return g.stopper.self(g.settings.Self.Address) }
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -4,6 +4,8 @@
 package peering
 
 import (
+	"time"
+
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/roster"
@@ -25,8 +27,11 @@
 	Watching bool
 	// Listed is set while the VM has a list of upstreams that it keeps up to date.
 	Listed bool
-	// Stopping is set while the VM drains.
-	Stopping bool
+	// Stopping is set while the VM drains: since OrderedAgo, until its exit in ExitIn at the
+	// latest.
+	Stopping   bool
+	OrderedAgo time.Duration
+	ExitIn     time.Duration
 	// Leading is set while the VM gives orders to engines. Token is the highest
 	// fencing token that it knows of.
 	Leading bool
