--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -137,6 +137,7 @@
 	c.Ramp = 2 * time.Second
 	c.ProbeTimeout = probeTimeout
 	c.LatencyFactor = 1e9
+	c.ProbeRest = probeRest
 	c.CapByModel = true
 	c.ModelConsecutive = engineFailures
 	c.Phase = phase
@@ -146,6 +147,10 @@
 	return c
 }
 
+// probeRest is how long the answer to a probe speaks for a server: a few of the pauses after
+// which runs suspect the servers of their chain.
+const probeRest = 300 * time.Millisecond
+
 // engineFailures is the number of failures in a row that ejects an engine. One that loses
 // the answers of two requests in five, which the platform plays, reaches it once in some
 // 1,500 requests; one that fails all reaches it within a second.
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -47,6 +47,10 @@
 	Ramp time.Duration
 	// ProbeTimeout is how long a probe may stay unanswered before the upstream is blamed.
 	ProbeTimeout time.Duration
+	// ProbeRest is how long an answer to a probe speaks for an upstream: suspicions within
+	// that time ask for no further probe. Probes and their connections are priced, and under
+	// congestion every run suspects all engines of its chain.
+	ProbeRest time.Duration
 	// Reprobe is the mean time between two probes of an ejected upstream. A fleet that
 	// shares the probing and tells each other of returns grows it with the number of VMs.
 	// Phase, in [0, 1), is this VM's place in it: the first probe as often as a VM alone.
@@ -143,6 +147,7 @@
 	probedAt  time.Time
 	why       Reason    // why the running probe was asked for
 	heardAt   time.Time // when another VM's finding last led to a probe
+	soundAt   time.Time // when a probe was last answered
 	weight    float64
 }
 
@@ -241,7 +246,7 @@
 // Silent books a connection that went silent; the upstream is probed before it is blamed.
 func (d *Detector) Silent(now time.Time, id fleet.UpstreamID, out []Action) []Action {
 	u := d.ups[id]
-	if u == nil || u.phase == ejected {
+	if u == nil || u.phase == ejected || now.Sub(u.soundAt) < d.cfg.ProbeRest {
 		return out
 	}
 	return d.probe(now, u, ReasonSilent, out)
@@ -301,6 +306,7 @@
 	if !ok {
 		return d.eject(now, u, u.why, down, out)
 	}
+	u.soundAt = now
 	if u.phase != ejected {
 		return out // the connection was at fault, not the upstream
 	}
--- a/pkg/outlier/partial_test.go
+++ b/pkg/outlier/partial_test.go
@@ -89,3 +89,30 @@
 	d.Refused(epoch, "rest1", nil)
 	is.True(d.Unreachable("rest1"))
 }
+
+// TestSuspicionsUnderCongestion: load pattern of a slow engine that holds up all chains:
+// 60 runs suspect each of 39 engines every 110 ms for 5 s. An engine that answers is asked
+// a few times a second, and one that falls silent is found as soon as before.
+func TestSuspicionsUnderCongestion(t *testing.T) {
+	is := is.New(t)
+	cfg := outlier.DefaultConfig()
+	cfg.ProbeRest = 300 * time.Millisecond
+	d := headsAndRest(cfg)
+	probes, lastAnswer := 0, epoch
+	for tick := range 500 {
+		now := epoch.Add(time.Duration(tick) * 10 * time.Millisecond)
+		for range 6 { // a tenth of the runs each 10 ms
+			for _, a := range d.Silent(now, "head0", nil) {
+				is.Equal(a.Kind, outlier.Probe)
+				probes++
+				lastAnswer = now.Add(2 * time.Millisecond)
+				d.Probed(lastAnswer, "head0", true, nil)
+			}
+		}
+	}
+	is.True(probes <= 18) // 5 s / 300 ms
+	now := lastAnswer.Add(cfg.ProbeRest)
+	is.Equal(len(d.Silent(now.Add(-1), "head0", nil)), 0)
+	is.Equal(len(d.Silent(now, "head0", nil)), 1)
+	is.True(d.Unanswered(now.Add(120*time.Millisecond), "head0", 120*time.Millisecond))
+}
