Engines that appear under load wait for what a release leaves

Cause: a release starts an engine about a second before the one that it replaces drains. Change: an engine that appears once there is traffic takes missing layers only for 2.5 s. Ruled out: giving it the range of an engine of its kind (with five of a kind, the wrong one four times in five).

--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -8,6 +8,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/layout"
+	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/storeera"
 	"github.com/cornelline/cornelline/pkg/storewatch"
 	"github.com/cornelline/cornelline/platform"
@@ -77,6 +78,8 @@
 	changedAt time.Time
 	count     int
 	deadSince map[fleet.UpstreamID]time.Time
+	// seen is when engines were first seen in the list, with their starts.
+	seen map[notice.Instance]time.Time
 	// lackSince holds since when data centres lack layers.
 	lackSince map[fleet.DataCentreID]time.Time
 	askedAt   time.Time
@@ -129,7 +132,7 @@
 // lead takes part in the choice of the leader and gives orders while this VM is it.
 func (g *Gateway) lead(ctx context.Context) {
 	l := &leader{
-		g: g, orders: make(map[fleet.UpstreamID]*placed), deadSince: make(map[fleet.UpstreamID]time.Time),
+		g: g, orders: make(map[fleet.UpstreamID]*placed), deadSince: make(map[fleet.UpstreamID]time.Time), seen: make(map[notice.Instance]time.Time),
 		lackSince: make(map[fleet.DataCentreID]time.Time), renewals: make(chan renewal, 1), mark: g.eras.mark(),
 	}
 	for pause(ctx, orderInterval) {
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -42,6 +42,7 @@
 		x := layout.Engine{ID: u.ID, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card], Holds: u.Layers}
 		serving = append(serving, x)
 		x.Holds = l.expected(now, u)
+		x.Settling = l.settling(now, u)
 		engines = append(engines, x)
 	}
 	l.mu.Unlock()
@@ -114,6 +115,22 @@
 	}
 }
 
+// settleNew is how long an engine that appears under load takes missing layers only. In a
+// release the one that it replaces drains about a second later, and the list is read each
+// second.
+const settleNew = 2500 * time.Millisecond
+
+// settling reports whether an engine appeared a short time ago. Callers hold the lock.
+func (l *leader) settling(now time.Time, u roster.Upstream) bool {
+	i := notice.InstanceOf(u.ID, u.Born)
+	since, known := l.seen[i]
+	if !known {
+		since = now
+		l.seen[i] = now
+	}
+	return l.g.trafficSeen() && now.Sub(since) < settleNew
+}
+
 // lost reports whether an engine is dead for so long that its layers are placed
 // elsewhere. Callers hold the lock.
 func (l *leader) lost(now time.Time, v *view, id fleet.UpstreamID) bool {
--- a/pkg/layout/layout.go
+++ b/pkg/layout/layout.go
@@ -22,6 +22,10 @@
 	Card       catalog.Card
 	// Holds is the range in memory or being loaded.
 	Holds fleet.LayerRange
+	// Settling is set for a short time after the engine appeared: it takes missing layers
+	// only. A release starts an engine before the one that it replaces drains, and a copy
+	// that loads meanwhile would keep it from taking over.
+	Settling bool
 }
 
 // Plan maps engines to ranges. Engines that it lacks hold nothing.
--- a/pkg/layout/repair.go
+++ b/pkg/layout/repair.go
@@ -10,8 +10,8 @@
 
 // Repair returns the plan that follows from what the engines hold. Engines keep
 // their ranges unless a layer is missing that only a second copy can replace;
-// empty engines take missing layers first and then the layers with the fewest
-// tokens left. A data centre whose layers can't be completed that way is planned
+// empty engines take missing layers first and then, once they have settled, the layers
+// with the fewest tokens left. A data centre whose layers can't be completed that way is planned
 // anew if revise says so for it: that moves most of its engines at once, while an
 // engine that crashed often comes back, empty, within seconds.
 func Repair(e *catalog.Engine, engines []Engine, revise func(fleet.DataCentreID) bool) Plan {
@@ -64,7 +64,7 @@
 		}
 	}
 	for i := range state {
-		if state[i].Holds.Len() > 0 {
+		if state[i].Holds.Len() > 0 || state[i].Settling {
 			continue
 		}
 		if r := p.copyFor(state[i].Card, state); r.Len() > 0 {
