--- a/pkg/gateway/configuration.go
+++ b/pkg/gateway/configuration.go
@@ -34,10 +34,11 @@
 	}
 	record.Number = r.catalog.Version
 	c.post(func(now time.Time) {
-		if c.configuration.Read(now, record) {
+		switch c.configuration.Read(now, record) {
+		case storeera.InForce:
 			c.putConfig(now, r, "store")
-		} else if record.Number < c.configuration.InForce().Number {
-			c.rewritten = r // in force once c.configuration says so
+		case storeera.Waits:
+			c.rewritten = r
 		}
 	})
 }
--- a/pkg/gateway/eras.go
+++ b/pkg/gateway/eras.go
@@ -46,10 +46,14 @@
 	return verdict
 }
 
-// judgeFailure is judge for a call that failed, maybe without an answer.
-func (g *Gateway) judgeFailure(began storeera.Mark, err error, call string) storeera.Verdict {
+// judgeCall is judge for a call that may have failed; without an answer there is nothing
+// to judge.
+func (g *Gateway) judgeCall(began storeera.Mark, era storeera.Era, err error, call string) storeera.Verdict {
 	var failure *platform.StoreError
-	if errors.As(err, &failure) {
+	switch {
+	case err == nil:
+		return g.judge(began, era, call)
+	case errors.As(err, &failure) && (failure.Status != 0 || failure.Era != 0):
 		return g.judge(began, failure.Era, call)
 	}
 	return storeera.Current
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -89,7 +89,7 @@
 			mark, whole = now, true
 		}
 		page, err := g.readConfig(ctx, next, whole)
-		if verdict := g.judgePage(mark, page, err, platform.OperatorTopic); verdict != storeera.Current {
+		if verdict := g.judgeCall(mark, page.Era, err, platform.OperatorTopic); verdict != storeera.Current {
 			continue
 		}
 		if errors.Is(err, platform.ErrExpired) {
@@ -121,14 +121,6 @@
 	}
 }
 
-// judgePage judges the answer to a read that began at a mark, or its failure.
-func (g *Gateway) judgePage(began storeera.Mark, page platform.Page, err error, topic string) storeera.Verdict {
-	if err != nil {
-		return g.judgeFailure(began, err, topic)
-	}
-	return g.judge(began, page.Era, topic)
-}
-
 // readTopic reads a keyed topic from an offset on or whole.
 func (g *Gateway) readTopic(ctx context.Context, topic string, from uint64, whole bool, wait, limit time.Duration) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -271,7 +263,7 @@
 	next, whole := follower.Next()
 	begun := follower.Begun()
 	page, err := g.readTopic(ctx, platform.UpstreamTopic, next, whole, 0, storeTimeout)
-	if verdict := g.judgePage(follower.mark, page, err, platform.UpstreamTopic); verdict != storeera.Current {
+	if verdict := g.judgeCall(follower.mark, page.Era, err, platform.UpstreamTopic); verdict != storeera.Current {
 		follower.followEra()
 		return true, nil
 	}
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -234,14 +234,8 @@
 // renewed takes in the outcome of a call.
 func (l *leader) renewed(r renewal) {
 	l.renewing = false
-	verdict := storeera.Current
-	if r.err != nil {
-		verdict = l.g.judgeFailure(r.mark, r.err, r.call)
-	} else {
-		verdict = l.g.judge(r.mark, r.got.Era, r.call)
-	}
-	if verdict != storeera.Current || l.followEra() {
-		l.followEra() // the group of the copy before is no more
+	verdict := l.g.judgeCall(r.mark, r.got.Era, r.err, r.call)
+	if l.followEra() || verdict != storeera.Current { // the group of the copy before is no more
 		return
 	}
 	l.touched = l.touched || r.call != "touch"
--- a/pkg/storeera/storeera.go
+++ b/pkg/storeera/storeera.go
@@ -138,26 +138,40 @@
 // InForce returns the version in force.
 func (c *Configuration) InForce() Version { return c.version }
 
-// Read takes in the operator's record and reports whether it is in force at once.
-func (c *Configuration) Read(now time.Time, r Record) bool {
+// Reading is what became of a record.
+type Reading uint8
+
+// The readings.
+const (
+	// Ignored: the record changes nothing.
+	Ignored Reading = iota
+	// InForce: its version is in force now.
+	InForce
+	// Waits: its version is an older one and may be in force later, as Tick says.
+	Waits
+)
+
+// Read takes in the operator's record.
+func (c *Configuration) Read(now time.Time, r Record) Reading {
 	switch {
 	case !c.known || r.Number > c.version.Number:
 		c.put(Version{Reverted: c.version.Reverted, Number: r.Number})
 	case r.Number == c.version.Number:
 		c.since = time.Time{}
 		c.stands(r)
-		return false
+		return Ignored
 	default:
 		// Without a return of the store an older record is a write that came late. A record
 		// behind the place of the one in force was written after the return: the copy ends
 		// before that place.
 		if r.Era != c.era && (r.Appended || c.hasOffset && r.Offset >= c.offset) {
 			c.pending, c.since = r, now
+			return Waits
 		}
-		return false
+		return Ignored
 	}
 	c.stands(r)
-	return true
+	return InForce
 }
 
 // stands notes where the record of the version in force stands.
