Re-reading: derived values, a bounded map, one copy of the stand-in's clone

Cause: read as a whole, the change carried a server's start twice (in its instance and beside it), a flag of the view that its list of VMs gives, a sentinel time that compared exits by the time of day, the same deep copy of the store's stand-in and the same count of layers in the layout tests twice; and the leader remembered each start of an engine for ever. Change: Instance.Started, handover.Ready in place of the flag, exits compared as times, Copy.clone, copies(); the leader drops starts that left the list once they are as many as those in it. Before, after: behaviour unchanged, no assertion touched; make check and the tests of gateway, soak, fleettest, handover, layout, notice, roster and storeera pass.

--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -87,18 +87,18 @@
 		g.pauseInGates(id, now.Add(n.Pause))
 	}
 	if n.Leaving {
-		g.upstreamEnds(now, i, born, true)
+		g.upstreamEnds(now, i, true)
 	}
 }
 
 // upstreamEnds notes that an upstream is about to end.
-func (g *Gateway) upstreamEnds(now time.Time, i notice.Instance, born time.Time, own bool) {
+func (g *Gateway) upstreamEnds(now time.Time, i notice.Instance, own bool) {
 	if !g.notices.ends(now, i, own) {
 		return
 	}
 	g.stats.Count("upstreams_leaving")
 	g.pauseInGates(i.ID, now.Add(untilPublished))
-	g.control.post(func(now time.Time) { g.control.ends(now, i, born) })
+	g.control.post(func(now time.Time) { g.control.ends(now, i) })
 }
 
 // untilPublished is how long a gate leaves out an upstream that ends by itself: until the
@@ -112,15 +112,15 @@
 }
 
 // ends takes an upstream that is about to end out of use.
-func (c *control) ends(now time.Time, i notice.Instance, born time.Time) {
+func (c *control) ends(now time.Time, i notice.Instance) {
 	c.dirty = true
-	c.upstreamsChanged(now, c.roster.Leave(now, i.ID, born, nil))
+	c.upstreamsChanged(now, c.roster.Leave(now, i.ID, i.Started(), nil))
 }
 
 // heardNotices takes in what upstreams said to another VM.
 func (c *control) heardNotices(now time.Time, s *peering.State) {
 	for _, i := range s.Ends {
-		c.g.upstreamEnds(now, i, time.UnixMilli(i.Born), false)
+		c.g.upstreamEnds(now, i, false)
 	}
 	if len(s.Pauses) == 0 {
 		return
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -26,6 +26,21 @@
 			l.giveService(ctx, now, v, id, service)
 		}
 	}
+	l.forgetSeen(v.list)
+}
+
+// forgetSeen drops engines that left the list, once they are as many as those in it.
+func (l *leader) forgetSeen(list []roster.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.seen) <= 2*len(list) {
+		return
+	}
+	listed := make(map[notice.Instance]bool, len(list))
+	for _, u := range list {
+		listed[notice.InstanceOf(u.ID, u.Born)] = true
+	}
+	maps.DeleteFunc(l.seen, func(i notice.Instance, _ time.Time) bool { return !listed[i] })
 }
 
 func (l *leader) giveService(ctx context.Context, now time.Time, v *view, id catalog.ServiceID, service *catalog.Service) {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -229,10 +229,11 @@
 	if now.Before(c.judgeFrom) {
 		return
 	}
+	near, far := peering.NewsInterval(v.near), peering.FarInterval(v.vms)
 	for id, p := range c.peers {
-		interval := peering.FarInterval(v.vms)
+		interval := far
 		if v.nearby[id] {
-			interval = peering.NewsInterval(v.near)
+			interval = near
 		}
 		if quiet := handover.Quiet(now, p.heard, interval); quiet != p.quiet {
 			p.quiet, c.dirty = quiet, true
@@ -361,7 +362,7 @@
 			c.post(func(now time.Time) {
 				c.askedList = true
 				for _, i := range offer.Ends {
-					c.g.upstreamEnds(now, i, time.UnixMilli(i.Born), false)
+					c.g.upstreamEnds(now, i, false)
 				}
 			})
 			if offer.Whole {
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -104,7 +104,7 @@
 	})
 	acceptUntil := began.Add(time.Duration(acceptShare * float64(grace)))
 	for now := began; now.Before(end); now = time.Now() {
-		if now.After(acceptUntil) && (g.view.Load().othersAccept || now.After(end.Add(-lastPlain))) {
+		if now.After(acceptUntil) && (handover.Ready(g.view.Load().others) || now.After(end.Add(-lastPlain))) {
 			g.stopper.refuseNew()
 		}
 		if g.stopper.running() == 0 && now.Sub(began) > leastStop {
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -33,8 +33,6 @@
 	// near counts those of them in the own data centre, this one included; nearby names them.
 	near   int
 	nearby map[fleet.VMID]bool
-	// othersAccept is set while another VM takes all that comes.
-	othersAccept bool
 	// listed is set once the list of upstreams was read.
 	listed bool
 	// dead are the upstreams ejected here.
@@ -168,7 +166,6 @@
 			v.others = append(v.others, other)
 		}
 	}
-	v.othersAccept = handover.Ready(v.others)
 	v.addresses = handover.Named(time.Now(), append([]handover.VM{c.g.self()}, v.others...))
 }
 
--- a/pkg/handover/handover.go
+++ b/pkg/handover/handover.go
@@ -10,7 +10,6 @@
 package handover
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -101,14 +100,14 @@
 // ComeBack returns when callers whom a stopping VM refuses come back: at once if another VM
 // takes them, otherwise when the first of the VMs is back. random is in [0, 1).
 func ComeBack(now time.Time, self VM, others []VM, random float64) time.Duration {
-	all := append([]VM{self}, others...)
 	if slices.ContainsFunc(others, func(v VM) bool { return !v.Quiet && v.takes(now) }) {
 		return elsewhere
 	}
-	first := slices.MinFunc(all, func(a, b VM) int { return cmp.Compare(exitOf(a).UnixNano(), exitOf(b).UnixNano()) })
-	after := restartTime
-	if exit := exitOf(first); exit != farAway {
-		after = max(exit.Add(restartTime).Sub(now), elsewhere)
+	after := restartTime // if none says when it exits
+	exits := filter(append([]VM{self}, others...), func(v VM) bool { return v.Stopping && !v.Quiet && !v.Exit.IsZero() })
+	if len(exits) > 0 {
+		first := slices.MinFunc(exits, func(a, b VM) int { return a.Exit.Compare(b.Exit) })
+		after = max(first.Exit.Add(restartTime).Sub(now), elsewhere)
 	}
 	return after + time.Duration(random*float64(spreadBack))
 }
@@ -116,16 +115,6 @@
 // spreadBack is the time over which those who were refused come back.
 const spreadBack = 400 * time.Millisecond
 
-// farAway stands for the exit of a VM that does not stop, or does not say when.
-var farAway = time.Unix(1<<32, 0)
-
-func exitOf(v VM) time.Time {
-	if v.Stopping && !v.Quiet && !v.Exit.IsZero() {
-		return v.Exit
-	}
-	return farAway
-}
-
 func filter(vms []VM, keep func(VM) bool) []VM {
 	var out []VM
 	for _, v := range vms {
--- a/pkg/layout/layout_test.go
+++ b/pkg/layout/layout_test.go
@@ -49,6 +49,19 @@
 	return list
 }
 
+// copies counts for each layer the engines of a data centre that hold it by a plan.
+func copies(e *catalog.Engine, engines []layout.Engine, plan layout.Plan, dc fleet.DataCentreID) []int {
+	held := make([]int, e.Layers)
+	for _, x := range engines {
+		if x.DataCentre == dc {
+			for l := plan[x.ID].First; l < plan[x.ID].End; l++ {
+				held[l]++
+			}
+		}
+	}
+	return held
+}
+
 // TestFreshGivesEachDataCentreAChain covers the standard deployment: the pipe
 // between data centres is too small for chains that cross it.
 func TestFreshGivesEachDataCentreAChain(t *testing.T) {
@@ -57,7 +70,6 @@
 	engines := testEngines(e)
 	plan := layout.Fresh(e, engines)
 	for _, dc := range []fleet.DataCentreID{"a", "b", "c"} {
-		held := make([]int, e.Layers)
 		for _, x := range engines {
 			r, ok := plan[x.ID]
 			if !ok || x.DataCentre != dc {
@@ -65,11 +77,8 @@
 			}
 			t.Log(x.ID, r)
 			is.True(float64(r.Len())*e.LayerMB <= x.Card.MemoryMB) // no engine is ordered to hold more than its memory
-			for l := r.First; l < r.End; l++ {
-				held[l]++
-			}
 		}
-		for l, n := range held {
+		for l, n := range copies(e, engines, plan, dc) {
 			if n == 0 {
 				t.Errorf("data centre %s: nobody holds layer %d", dc, l)
 			}
@@ -123,16 +132,8 @@
 	engines := testEngines(e)
 	plan := layout.Fresh(e, engines)
 	for _, dc := range []fleet.DataCentreID{"a", "b", "c"} {
-		held := make([]int, e.Layers)
-		for _, x := range engines {
-			if x.DataCentre == dc {
-				for l := plan[x.ID].First; l < plan[x.ID].End; l++ {
-					held[l]++
-				}
-			}
-		}
 		twice := 0
-		for _, n := range held {
+		for _, n := range copies(e, engines, plan, dc) {
 			if n > 1 {
 				twice++
 			}
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -27,6 +27,9 @@
 	return Instance{ID: id, Born: born.UnixMilli()}
 }
 
+// Started returns the time of the start.
+func (i Instance) Started() time.Time { return time.UnixMilli(i.Born) }
+
 const (
 	// tellFor is how long other VMs are told of an end that was found here: many
 	// intervals of the news.
--- a/pkg/standin/userplatform/store.go
+++ b/pkg/standin/userplatform/store.go
@@ -59,22 +59,27 @@
 
 // Copy is the store's content at a moment.
 type Copy struct {
-	topics map[string]topic
-	groups map[string]group
+	topics map[string]*topic
+	groups map[string]*group
+}
+
+// clone returns a copy that shares nothing with c.
+func (c Copy) clone() Copy {
+	out := Copy{topics: map[string]*topic{}, groups: map[string]*group{}}
+	for name, t := range c.topics {
+		out.topics[name] = &topic{records: slices.Clone(t.records), first: t.first}
+	}
+	for name, g := range c.groups {
+		out.groups[name] = &group{generation: g.generation, members: maps.Clone(g.members), holder: g.holder}
+	}
+	return out
 }
 
 // Copy returns a copy of the content.
 func (s *Store) Copy() Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := Copy{topics: map[string]topic{}, groups: map[string]group{}}
-	for name, t := range s.topics {
-		c.topics[name] = topic{records: slices.Clone(t.records), first: t.first}
-	}
-	for name, g := range s.groups {
-		c.groups[name] = group{generation: g.generation, members: maps.Clone(g.members), holder: g.holder}
-	}
-	return c
+	return Copy{s.topics, s.groups}.clone()
 }
 
 // Restore brings the store back from a copy: what was written since is gone, and offsets
@@ -82,13 +87,8 @@
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.topics, s.groups = map[string]*topic{}, map[string]*group{}
-	for name, t := range c.topics {
-		s.topics[name] = &topic{records: slices.Clone(t.records), first: t.first}
-	}
-	for name, g := range c.groups {
-		s.groups[name] = &group{generation: g.generation, members: maps.Clone(g.members), holder: g.holder}
-	}
+	own := c.clone()
+	s.topics, s.groups = own.topics, own.groups
 	s.era++
 	close(s.change) // reads that wait look again
 	s.change = make(chan struct{})
