Log when the control goroutine falls behind

A VM whose control goroutine is late takes healthy servers for dead ones; neither logs nor metrics showed it, so that hypotheses about lost capacity and about a lack of processor time could not be told apart. Event 111 gives the longest time between two ticks, the events, the queue, the views published and the time that took; two gauges show the same.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -14,6 +14,7 @@
 	Reloaded         ID = 108
 	LinesSuppressed  ID = 109
 	TaskPanicked     ID = 110
+	ControlLate      ID = 111
 )
 
 // Request events.
@@ -104,6 +105,7 @@
 	Reloaded:         {"settings_reloaded", zerolog.InfoLevel},
 	LinesSuppressed:  {"lines_suppressed", zerolog.WarnLevel},
 	TaskPanicked:     {"task_panicked", zerolog.ErrorLevel},
+	ControlLate:      {"control_late", zerolog.WarnLevel},
 	ConfigInForce:    {"config_in_force", zerolog.InfoLevel},
 	ConfigRejected:   {"config_rejected", zerolog.ErrorLevel},
 	EntryRejected:    {"upstream_entry_rejected", zerolog.WarnLevel},
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -93,6 +93,8 @@
 	prunedAt      time.Time
 	// lastTick is the time of the last tick.
 	lastTick time.Time
+	// load measures the work of the control goroutine.
+	load controlLoad
 	// quietChecksFrom is when the check for quiet VMs resumes after a suspension of this VM.
 	quietChecksFrom time.Time
 }
@@ -148,15 +150,18 @@
 		case f := <-c.events:
 			now := time.Now()
 			c.runEvent(now, f)
+			c.load.recordEvent(len(c.events))
 			for range len(c.events) { // publish once for all queued events
 				c.runEvent(now, <-c.events)
+				c.load.recordEvent(len(c.events))
 			}
 		case <-ticker.C:
 			c.runEvent(time.Now(), c.tick)
 		}
 		if c.dirty {
-			ejectedBefore := len(c.g.view.Load().ejected)
-			c.publish(time.Now())
+			ejectedBefore, began := len(c.g.view.Load().ejected), time.Now()
+			c.publish(began)
+			c.load.recordView(time.Since(began))
 			if len(c.g.view.Load().ejected) > ejectedBefore { // its runs need not wait for the next tick
 				c.checkRuns(time.Now())
 			}
@@ -199,6 +204,7 @@
 		c.g.pool.Prune()
 		c.pruneNotices(now)
 		c.g.log.LogSuppressed()
+		c.reportLoad()
 		c.g.setRetryLimits(now)
 		c.health.SetConfig(healthConfig(c.g.view.Load().vms, c.probePhase))
 		for id, since := range c.drainingSince {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -226,7 +226,11 @@
 // while.
 func (c *control) updateQuietPeers(now time.Time) {
 	v := c.g.view.Load()
-	if now.Sub(c.lastTick) > suspensionThreshold {
+	gap := now.Sub(c.lastTick)
+	if !c.lastTick.IsZero() {
+		c.load.recordTick(gap)
+	}
+	if gap > suspensionThreshold {
 		c.quietChecksFrom = now.Add(peering.RemoteStateInterval(v.vms))
 	}
 	c.lastTick = now
@@ -246,7 +250,8 @@
 }
 
 // suspensionThreshold is the time between two ticks from which this VM counts as having been
-// suspended.
+// suspended or as too busy. Probes time out after probeTimeout, so that a VM that is much later
+// takes healthy servers for dead ones.
 const suspensionThreshold = 4 * controlTick
 
 // sendState sends this VM's state to the other VMs when it is due, more often to those of
