State messages are encoded once for all peers

Cause: each VM encoded its state message again for each of 117 peers (about 350 times a second); the fleet's work grew with the square of its size. Change: Transport.Broadcast encodes once; Send uses it. Before: 117 encodings a broadcast; after: 1.

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/chain"
@@ -310,11 +312,13 @@
 			s.Slow[id] = float32(factor)
 		}
 	}
+	addresses := make([]string, 0, len(v.peerAddresses))
 	for id, address := range v.peerAddresses {
 		if isNear := v.inOwnDataCentre[id]; isNear && near || !isNear && far {
-			_ = c.g.peers.Send(address, s) // the next state message replaces a lost one
+			addresses = append(addresses, address)
 		}
 	}
+	_ = c.g.peers.Broadcast(addresses, s) // the next state message replaces a lost one
 }
 
 // broadcastListing sends a listing to the other VMs. An empty one confirms that the list has
@@ -326,9 +330,7 @@
 // broadcast sends a message to all other VMs. Delivery is not guaranteed: a receiver gets what
 // it missed from a later message or from another source.
 func (g *Gateway) broadcast(m wire.Message) {
-	for _, address := range g.view.Load().peerAddresses {
-		_ = g.peers.Send(address, m)
-	}
+	_ = g.peers.Broadcast(slices.Collect(maps.Values(g.view.Load().peerAddresses)), m)
 }
 
 // fetchConfig fetches a newer configuration from another VM.
--- a/pkg/wire/transport.go
+++ b/pkg/wire/transport.go
@@ -112,11 +112,21 @@
 // Send queues a message for a peer and never blocks. A full queue drops its
 // oldest message, so that delivery is not guaranteed.
 func (t *Transport) Send(address string, m Message) error {
+	return t.Broadcast([]string{address}, m)
+}
+
+// Broadcast queues a message for several peers, as Send does for one. It encodes the message
+// once.
+func (t *Transport) Broadcast(addresses []string, m Message) error {
 	kind, payload, err := Encode(m)
 	if err != nil {
 		return err
 	}
-	return t.enqueue(address, frame{Kind: kind, Payload: payload})
+	var errs []error
+	for _, address := range addresses {
+		errs = append(errs, t.enqueue(address, frame{Kind: kind, Payload: payload}))
+	}
+	return errors.Join(errs...)
 }
 
 // Call sends a request to a peer and waits for the response or the end of ctx.
