A list of upstreams is applied in linear time

What callers saw: after a loss of power of a large fleet all VMs start at once and are busy with the list of 221 upstreams while callers come back. Cause: for each listed upstream the state of all others was collected, sorted and set again, to drop one. Change: Detector.Forget drops one upstream.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -238,7 +238,7 @@
 		}
 		switch {
 		case change.Reason == roster.Listed:
-			c.resetHealth(u.ID)
+			c.health.Forget(u.ID) // the state of a previous incarnation
 			delete(c.drainingSince, u.ID)
 		case change.Gone || drains:
 			if _, known := c.drainingSince[u.ID]; !known {
@@ -248,17 +248,6 @@
 	}
 }
 
-// resetHealth drops the health state of a previous incarnation of an upstream.
-func (c *control) resetHealth(id fleet.UpstreamID) {
-	var others []roster.Upstream
-	for _, u := range c.roster.List() {
-		if u.ID != id {
-			others = append(others, u)
-		}
-	}
-	c.health.SetMembers(c.outlierMembers(others))
-}
-
 func (c *control) outlierMembers(list []roster.Upstream) []outlier.Member {
 	members := make([]outlier.Member, 0, len(list))
 	for _, u := range list {
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -218,6 +218,16 @@
 	slices.SortFunc(d.order, func(a, b *upstreamState) int { return cmp.Compare(a.member.ID, b.member.ID) })
 }
 
+// Forget drops the state of an upstream, whose next incarnation starts without it. The upstream
+// is unknown until SetMembers names it again.
+func (d *Detector) Forget(id fleet.UpstreamID) {
+	if d.upstreams[id] == nil {
+		return
+	}
+	delete(d.upstreams, id)
+	d.order = slices.DeleteFunc(d.order, func(u *upstreamState) bool { return u.member.ID == id })
+}
+
 // RecordSuccess records a successful request and its latency. The latencies of all upstreams
 // of a peer group must be measured alike, for example as the time of one step of a stage or of
 // one call. RecordSuccess causes no actions; its signature is that of the other Record methods.
