Reservations of other VMs are summed as their messages arrive

Change: peering.Totals adds and subtracts what a message changes, in integers, so that nothing drifts.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -36,6 +36,8 @@
 	health  *outlier.Detector
 	members *membership.Machine
 	peers   map[fleet.VMID]*peerState
+	// peerTotals is the sum of the reservations in peers.
+	peerTotals *peering.Totals
 	// reservationsChanged is set when the reservations of other VMs changed since the gates
 	// got them.
 	reservationsChanged bool
@@ -122,7 +124,7 @@
 		members: membership.New(membership.Config{
 			Self: self, Incarnation: uint64(now.UnixMilli()), Domain: fleet.DataCentreID(self.Region), Seeds: g.settings.Seeds,
 		}, now, random),
-		gates: make(map[catalog.ServiceID]*gate), peers: make(map[fleet.VMID]*peerState),
+		gates: make(map[catalog.ServiceID]*gate), peers: make(map[fleet.VMID]*peerState), peerTotals: peering.NewTotals(),
 		slowness: make(map[fleet.UpstreamID]float64), reportedLayers: make(map[fleet.UpstreamID]layerReport),
 		storeUp: true, stallWatch: stall.NewDetector(),
 		engineRefusals: make(map[fleet.UpstreamID]*refusalHistory), drainingSince: make(map[fleet.UpstreamID]time.Time),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -134,8 +134,7 @@
 	switch {
 	case !a.Live:
 		id = event.MemberLost
-		delete(c.peers, a.Member.ID)
-		c.reservationsChanged = true
+		c.removePeer(a.Member.ID)
 	case a.Member.Leaving:
 		id = event.MemberLeaving
 	}
@@ -151,6 +150,10 @@
 	if old == nil || old.quiet || old.Stopping != s.Stopping {
 		c.dirty = true // whether callers are sent there may change
 	}
+	if old != nil {
+		c.peerTotals.Subtract(old.Reservations)
+	}
+	c.peerTotals.Add(s.Reservations)
 	c.peers[s.VM] = &peerState{State: *s, receivedAt: now}
 	if s.Leading && !c.g.leading.Load() {
 		c.replaceSlowness(s.Slow)
@@ -189,6 +192,15 @@
 	}
 }
 
+// removePeer drops the state of another VM, with its reservations.
+func (c *control) removePeer(id fleet.VMID) {
+	if p := c.peers[id]; p != nil {
+		c.peerTotals.Subtract(p.Reservations)
+		c.reservationsChanged = true
+	}
+	delete(c.peers, id)
+}
+
 // updatePeerReservations gives the gates what the other VMs have reserved, if that changed.
 // It runs once per tick and not per state message, because those arrive more often in a large
 // fleet.
@@ -197,16 +209,10 @@
 		return
 	}
 	c.reservationsChanged = false
-	sums := make(map[uint32]chain.Load)
-	for _, p := range c.peers {
-		for _, x := range p.Reservations {
-			kv, requests, tokens := x.Values()
-			l := sums[x.Upstream]
-			l.KV, l.Requests, l.Tokens = l.KV+kv, l.Requests+requests, l.Tokens+tokens
-			sums[x.Upstream] = l
-		}
+	others := func(id fleet.UpstreamID) chain.Load {
+		kv, requests, tokens := c.peerTotals.Of(id)
+		return chain.Load{KV: kv, Requests: requests, Tokens: tokens}
 	}
-	others := func(id fleet.UpstreamID) chain.Load { return sums[peering.HashID(id)] }
 	for _, gate := range c.gates {
 		gate.setPeerLoad(others)
 	}
@@ -216,8 +222,7 @@
 func (c *control) dropSilentPeers(now time.Time) {
 	for id, p := range c.peers {
 		if now.Sub(p.receivedAt) > peerStateTTL {
-			delete(c.peers, id)
-			c.reservationsChanged = true
+			c.removePeer(id)
 			c.dirty = true
 		}
 	}
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -54,3 +55,28 @@
 	is.True(!old.isSupersededBy(&peering.State{VM: "v", Started: 2600, Sequence: 1}, now.Add(restartSilence)))
 	is.True(old.isSupersededBy(&peering.State{VM: "v", Started: 2600, Sequence: 1}, now.Add(restartSilence+1)))
 }
+
+// TestReservationsOfOtherVMs guards against reservations that still count after a newer state
+// message replaced them or their VM ended.
+func TestReservationsOfOtherVMs(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	c := newTestGateway(&log).control
+	now := time.Now()
+	state := func(vm fleet.VMID, sequence uint64, requests float64) *peering.State {
+		return &peering.State{VM: vm, Started: 1, Sequence: sequence, Reservations: []peering.Reservation{peering.NewReservation("e", 1000*requests, requests, 100*requests)}}
+	}
+	reserved := func() float64 {
+		_, requests, _ := c.peerTotals.Of("e")
+		return requests
+	}
+	c.receiveState(now, state("a", 1, 3))
+	c.receiveState(now, state("b", 1, 4))
+	c.receiveState(now.Add(time.Second), state("a", 2, 5))
+	c.receiveState(now.Add(time.Second), state("a", 1, 9)) // late
+	is.Equal(reserved(), 9.0)
+	c.applyMemberChange(membership.Changed{Member: membership.Member{ID: "a"}})
+	is.Equal(reserved(), 4.0)
+	c.dropSilentPeers(now.Add(peerStateTTL + time.Millisecond))
+	is.Equal(reserved(), 0.0)
+}
