Publishing a view sorts pointers, not entries

Cause: Roster.List sorted the entries of 221 upstreams by moving them, 0.71 of 1.76 s of a profile of control.publish, and SetMembers sorted what is sorted already. A view is published after each change, in trouble up to twenty times a second on each VM. Change: pointers are sorted; SetMembers checks the order first. Behaviour is unchanged; the tests of roster and outlier cover the order.

--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -215,7 +215,10 @@
 		d.order = append(d.order, u)
 	}
 	d.upstreams = kept
-	slices.SortFunc(d.order, func(a, b *upstreamState) int { return cmp.Compare(a.member.ID, b.member.ID) })
+	byID := func(a, b *upstreamState) int { return cmp.Compare(a.member.ID, b.member.ID) }
+	if !slices.IsSortedFunc(d.order, byID) {
+		slices.SortFunc(d.order, byID)
+	}
 }
 
 // Forget drops the state of an upstream, whose next incarnation starts without it. The upstream
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -250,11 +251,12 @@
 
 // List returns the upstreams sorted by ID.
 func (r *Roster) List() []Upstream {
-	list := make([]Upstream, 0, len(r.entries))
-	for _, e := range r.entries {
-		list = append(list, e.Upstream)
+	// Pointers are sorted, because moving the entries themselves costs several times as much.
+	entries := slices.SortedFunc(maps.Values(r.entries), func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
+	list := make([]Upstream, len(entries))
+	for i, e := range entries {
+		list[i] = e.Upstream
 	}
-	slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
