The search for a chain allocates only its result

Cause: each search through 216 servers allocated a path for each step, 4,234 objects and 202 KB, and looked up each server's state again for each layer; a refusal cost a second search. With full servers each release and each tick starts one. Change: values that all paths through a server share are computed once a search, paths are kept by value in memory that is used again, and whether all layers are held is decided by one pass.

--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -138,6 +138,7 @@
 	maxCrossingChains int
 	vms               int
 	sharing           sharingState
+	searchState       searchState
 }
 
 // New returns an allocator without servers for a VM in the data centre localDC.
@@ -297,14 +298,19 @@
 
 // IsComplete reports whether the available servers, without those in avoid, hold every layer.
 func (a *Allocator) IsComplete(now time.Time, avoid map[fleet.UpstreamID]bool) bool {
-	_, ok := a.search(now, Need{}, avoid, false)
-	return ok
+	held := 0                     // the layers below it are held
+	for _, s := range a.servers { // sorted by first layer
+		if s.Layers.First <= held && s.isAvailable(now, avoid) {
+			held = max(held, s.Layers.End)
+		}
+	}
+	return held >= a.engine.Layers
 }
 
 // Reserve finds the chain with the lowest cost, which is mostly its expected time, and
 // reserves the memory that the generation needs on each of its servers.
 func (a *Allocator) Reserve(now time.Time, need Need, avoid map[fleet.UpstreamID]bool) (*Chain, Failure) {
-	c, ok := a.search(now, need, avoid, true)
+	c, ok := a.search(now, need, avoid)
 	switch {
 	case ok:
 	case a.IsComplete(now, avoid):
--- a/pkg/chain/search.go
+++ b/pkg/chain/search.go
@@ -30,60 +30,82 @@
 // path is a sequence of servers that runs the layers from 0 up to a given one. It is linked
 // from its last server to its first.
 type path struct {
-	costSeconds float64 // expected seconds of the whole generation, plus penalties
-	stepSeconds float64 // expected seconds per answer token
-	server      *server // last server of the path; nil at the start
-	firstLayer  int     // first layer that the server runs
-	previous    *path
-	crossings   int // hops between servers in different data centres
+	costSeconds float64    // expected seconds of the whole generation, plus penalties
+	stepSeconds float64    // expected seconds per answer token
+	server      *candidate // last server of the path; nil at the start
+	firstLayer  int        // first layer that the server runs
+	previous    int        // index of the path without its last server in searchState.paths[firstLayer]
+	crossings   int        // hops between servers in different data centres
 }
 
-// search returns the chain with the lowest cost, or false if no chain remains. Servers in
-// avoid, paused servers and servers of weight 0 are always left out. With enforceLimits, it
-// also leaves out servers without free memory for the request, chains too slow for the gap
-// objective, and chains across data centres once this VM has maxCrossingChains of them. The
-// gap objective is checked only for the cheapest chain per data centre of the last server, so
-// search may miss a chain that costs more and meets it. One pass in the order of the layers
-// suffices, because each server extends a path to a higher layer.
-func (a *Allocator) search(now time.Time, need Need, avoid map[fleet.UpstreamID]bool, enforceLimits bool) (*Chain, bool) {
-	layers := a.engine.Layers
-	// best[i] holds the cheapest paths that run the layers below i, one per data centre of
-	// the last server.
-	best := make([][]*path, layers+1)
-	best[0] = []*path{{}}
-	for firstLayer := 0; firstLayer < layers; firstLayer++ {
-		if len(best[firstLayer]) == 0 {
+// candidate is a server that a search may use, with the values that all paths through it share.
+type candidate struct {
+	*server
+	local           bool    // the server is in the data centre of this VM
+	stepPerLayer    float64 // expected seconds per answer token and layer
+	prefillPerLayer float64 // expected seconds of the prefill per layer
+	penalty         float64 // penalties of the server in seconds
+	free            float64 // free KV memory in tokens x layers; 0 during the backoff that follows a refusal
+}
+
+// searchState holds the memory that successive searches use again. A search takes some
+// thousand steps and runs for each request, so that it allocates only its result.
+type searchState struct {
+	candidates []candidate // sorted by first layer
+	// paths holds for each layer the cheapest paths that run the layers below it, one per data
+	// centre of the last server.
+	paths [][]path
+}
+
+// prepare sets the candidates of a search and clears the paths of the previous one.
+func (a *Allocator) prepare(now time.Time, need Need, avoid map[fleet.UpstreamID]bool) {
+	st := &a.searchState
+	st.candidates = st.candidates[:0]
+	for _, s := range a.servers {
+		if !s.isAvailable(now, avoid) {
 			continue
 		}
-		for _, s := range a.servers {
-			if s.Layers.First > firstLayer { // a.servers is sorted by first layer
-				break
-			}
-			if s.Layers.End <= firstLayer || s.Weight <= 0 || avoid[s.ID] || now.Before(s.pausedUntil) {
-				continue
-			}
-			layerCount := s.Layers.End - firstLayer
-			extraCost := 0.0
-			if enforceLimits {
-				requestsThatFit := s.requestsThatFit(now, need, layerCount)
-				if requestsThatFit < 1 {
-					continue
-				}
-				extraCost = a.sharing.contentionPenalty(requestsThatFit, s.DataCentre == a.localDC)
-			}
-			for _, known := range best[firstLayer] {
-				next := a.extend(now, known, s, firstLayer, layerCount, need)
-				next.costSeconds += extraCost
-				if enforceLimits && next.crossings > 0 && a.crossingChains >= a.maxCrossingChains {
-					continue
-				}
-				best[s.Layers.End] = keepCheapest(best[s.Layers.End], next)
-			}
+		c := candidate{
+			server: s, local: s.DataCentre == a.localDC, stepPerLayer: a.stepSeconds(s, 1),
+			prefillPerLayer: PrefillTime(a.engine, s.Card, float64(need.PromptTokens), 1).Seconds() * max(s.SlowdownFactor, 1),
+			// A server whose weight is below 1 costs more, so that it gets less work.
+			penalty: (1 - s.Weight) * recoveryPenalty.Seconds(),
+		}
+		if now.Before(s.DeprioritizedUntil) {
+			c.penalty += deprioritizedPenalty.Seconds()
 		}
+		if !now.Before(s.backoffUntil) {
+			c.free = s.capacity*s.Weight - s.ownLoad.KV - s.otherLoad.KV
+		}
+		st.candidates = append(st.candidates, c)
+	}
+	for len(st.paths) <= a.engine.Layers {
+		st.paths = append(st.paths, nil)
+	}
+	for i := range st.paths {
+		st.paths[i] = st.paths[i][:0]
 	}
+}
+
+// isAvailable reports whether a server may be used at all: it is not in avoid, not paused and
+// has a weight above 0.
+func (s *server) isAvailable(now time.Time, avoid map[fleet.UpstreamID]bool) bool {
+	return s.Weight > 0 && !avoid[s.ID] && !now.Before(s.pausedUntil)
+}
+
+// search returns the chain with the lowest cost, or false if no chain remains. It uses only
+// available servers with free memory for the request, and leaves out chains too slow for the gap
+// objective, and chains across data centres once this VM has maxCrossingChains of them. The
+// gap objective is checked only for the cheapest chain per data centre of the last server, so
+// search may miss a chain that costs more and meets it.
+func (a *Allocator) search(now time.Time, need Need, avoid map[fleet.UpstreamID]bool) (*Chain, bool) {
+	a.prepare(now, need, avoid)
+	a.extendPaths(need)
 	var cheapest *path
-	for _, known := range best[layers] {
-		if enforceLimits && need.GapObjective > 0 && known.stepSeconds*float64(a.engine.TokensPerEvent) > maxStepShareOfGap*need.GapObjective.Seconds() {
+	complete := a.searchState.paths[a.engine.Layers]
+	for i := range complete {
+		known := &complete[i]
+		if need.GapObjective > 0 && known.stepSeconds*float64(a.engine.TokensPerEvent) > maxStepShareOfGap*need.GapObjective.Seconds() {
 			continue
 		}
 		if cheapest == nil || known.costSeconds < cheapest.costSeconds {
@@ -96,12 +118,50 @@
 	return a.assemble(cheapest, need), true
 }
 
+// extendPaths finds the cheapest paths up to each layer. One pass in the order of the layers
+// suffices, because each server extends a path to a higher layer.
+func (a *Allocator) extendPaths(need Need) {
+	st := &a.searchState
+	st.paths[0] = append(st.paths[0], path{})
+	tokens := float64(need.PromptTokens + need.AnswerTokens)
+	crossingsAllowed := a.crossingChains < a.maxCrossingChains
+	for firstLayer := 0; firstLayer < a.engine.Layers; firstLayer++ {
+		known := st.paths[firstLayer]
+		if len(known) == 0 {
+			continue
+		}
+		for i := range st.candidates {
+			c := &st.candidates[i]
+			if c.Layers.First > firstLayer { // the candidates are sorted by first layer
+				break
+			}
+			layerCount := c.Layers.End - firstLayer
+			if layerCount <= 0 {
+				continue
+			}
+			requestsThatFit := c.free / max(tokens*float64(layerCount), 1)
+			if requestsThatFit < 1 {
+				continue
+			}
+			contention := a.sharing.contentionPenalty(requestsThatFit, c.local)
+			for j := range known {
+				next := a.extend(&known[j], j, c, firstLayer, layerCount, need)
+				if next.crossings > 0 && !crossingsAllowed {
+					continue
+				}
+				next.costSeconds += contention
+				st.paths[c.Layers.End] = keepCheapest(st.paths[c.Layers.End], next)
+			}
+		}
+	}
+}
+
 // keepCheapest adds a path to those that end at the same layer. It keeps only the cheapest
 // path per data centre of the last server.
-func keepCheapest(paths []*path, next *path) []*path {
-	for i, known := range paths {
-		if known.server.DataCentre == next.server.DataCentre {
-			if next.costSeconds < known.costSeconds {
+func keepCheapest(paths []path, next path) []path {
+	for i := range paths {
+		if paths[i].server.DataCentre == next.server.DataCentre {
+			if next.costSeconds < paths[i].costSeconds {
 				paths[i] = next
 			}
 			return paths
@@ -110,37 +170,21 @@
 	return append(paths, next)
 }
 
-// requestsThatFit returns how many requests like need, on the given number of layers, fit in
-// the free memory of the server. The memory counts in proportion to the server's weight, and
-// as none during the backoff that follows a refusal.
-func (s *server) requestsThatFit(now time.Time, need Need, layers int) float64 {
-	if now.Before(s.backoffUntil) {
-		return 0
-	}
-	free := s.capacity*s.Weight - s.ownLoad.KV - s.otherLoad.KV
-	return free / max(float64((need.PromptTokens+need.AnswerTokens)*layers), 1)
-}
-
-// extend returns parent extended by server s, which runs layerCount layers from firstLayer.
-func (a *Allocator) extend(now time.Time, parent *path, s *server, firstLayer, layerCount int, need Need) *path {
-	step := a.stepSeconds(s, layerCount)
-	prefill := PrefillTime(a.engine, s.Card, float64(need.PromptTokens), layerCount).Seconds() * max(s.SlowdownFactor, 1)
-	next := &path{server: s, firstLayer: firstLayer, previous: parent, crossings: parent.crossings}
-	hop, penalty := hopLatency, time.Duration(0)
+// extend returns the path at index, parent, extended by server c, which runs layerCount layers
+// from firstLayer.
+func (a *Allocator) extend(parent *path, index int, c *candidate, firstLayer, layerCount int, need Need) path {
+	step := c.stepPerLayer * float64(layerCount)
+	next := path{server: c, firstLayer: firstLayer, previous: index, crossings: parent.crossings}
+	hop, penalty := hopLatency.Seconds(), c.penalty
 	switch {
-	case parent.server != nil && parent.server.DataCentre != s.DataCentre:
-		hop, penalty = crossDCLatency, crossDCPenalty
+	case parent.server != nil && parent.server.DataCentre != c.DataCentre:
+		hop, penalty = crossDCLatency.Seconds(), penalty+crossDCPenalty.Seconds()
 		next.crossings++
-	case parent.server == nil && s.DataCentre != a.localDC:
-		hop = crossDCLatency
-	}
-	next.stepSeconds = parent.stepSeconds + step + hop.Seconds()
-	next.costSeconds = parent.costSeconds + prefill + penalty.Seconds() + float64(need.AnswerTokens)*(step+hop.Seconds())
-	// A server whose weight is below 1 costs more, so that it gets less work.
-	next.costSeconds += (1 - s.Weight) * recoveryPenalty.Seconds()
-	if now.Before(s.DeprioritizedUntil) {
-		next.costSeconds += deprioritizedPenalty.Seconds()
+	case parent.server == nil && !c.local:
+		hop = crossDCLatency.Seconds()
 	}
+	next.stepSeconds = parent.stepSeconds + step + hop
+	next.costSeconds = parent.costSeconds + c.prefillPerLayer*float64(layerCount) + penalty + float64(need.AnswerTokens)*(step+hop)
 	return next
 }
 
@@ -183,7 +227,7 @@
 func (a *Allocator) assemble(last *path, need Need) *Chain {
 	c := &Chain{need: need, Crossings: last.crossings, ExpectedStep: toDuration(last.stepSeconds)}
 	var prefill time.Duration
-	for part := last; part.server != nil; part = part.previous {
+	for part := last; part.server != nil; part = &a.searchState.paths[part.firstLayer][part.previous] {
 		s := part.server
 		c.Stages = append(c.Stages, Stage{
 			Server: s.ID, StartedAt: s.StartedAt, Address: s.Address, DataCentre: s.DataCentre,
