VMs that start at once leave the lead to the seeds

What callers saw: nothing by itself; engines of the large site refused 216 of 432 orders at the start, and after a loss of power of all VMs no orders took effect for seconds. Cause: a VM that has just started knows few others, so that it is the first in the order and sees a majority; all 118 join the group, and each member that joins moves its partitions. Class: a decision by a majority of what is known so far. Change: for 3 s after its start a VM joins the group only as a seed, and leads as no deputy. Test: TestFleetThatStartsAtOnceHasOneLeader (before: all of 4, 31 and 118 VMs in the group, two deputies in half of the cases).

--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -136,7 +136,8 @@
 		c.leaderSeenAt = now
 	}
 	d := storewatch.Assign(now, storewatch.Self{
-		ID: c.g.settings.Self.ID, StoreUnavailable: !c.storeUp, UnavailableSince: c.storeDownSince, Stopping: c.g.shutdown.isStopping(),
+		ID: c.g.settings.Self.ID, Forming: len(c.g.settings.Seeds) > 0 && now.Sub(c.g.started) < storewatch.FormationTime, IsSeed: c.g.settings.IsSeed,
+		StoreUnavailable: !c.storeUp, UnavailableSince: c.storeDownSince, Stopping: c.g.shutdown.isStopping(),
 		LeaderLastSeen: c.leaderSeenAt, LiveVMs: c.g.view.Load().vms,
 	}, peers)
 	if d.OtherLeads {
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -77,9 +77,17 @@
 // LeaderTimeout, because the group cannot choose a leader in such an outage.
 const storeOutageTimeout = 600 * time.Millisecond
 
+// FormationTime is the time after the start of a VM in which it may not yet know the VMs that
+// precede it. In a fleet of 118 VMs that starts at once, most learn of each other within it.
+const FormationTime = 3 * time.Second
+
 // Self is the state of this VM.
 type Self struct {
 	ID fleet.VMID
+	// Forming is set for FormationTime after the start of a VM that has others to find.
+	Forming bool
+	// IsSeed is set if other VMs find the fleet through this one. The seeds are few.
+	IsSeed bool
 	// StoreUnavailable is set while this VM's calls to the store fail.
 	StoreUnavailable bool
 	// UnavailableSince is when this VM's calls to the store began to fail.
@@ -99,7 +107,9 @@
 	// WatchesConfig is set if the VM keeps a read of the configuration open at the store, or
 	// retries it.
 	WatchesConfig bool
-	// Candidate is set if the VM stays in the group from which the leader is chosen.
+	// Candidate is set if the VM stays in the group from which the leader is chosen. Of the VMs
+	// that are still forming a fleet, only seeds are: each member that joins moves the partitions
+	// of the group, and with it the lead.
 	Candidate bool
 	// AmongFirstWatchers is set if the VM is one of the first Watchers VMs in the order,
 	// whether or not the store answers it.
@@ -111,8 +121,9 @@
 	// OtherLeads is set if another VM gives orders to engines.
 	OtherLeads bool
 	// LeadsAsDeputy is set if this VM should give orders to engines although the group has not
-	// chosen it. It is not stopping, no known VM leads, and no known VM that is not stopping
-	// precedes it in the order. In addition, either its calls to the store have failed for
+	// chosen it. It is not forming a fleet, where the VMs that precede it are not known, and not
+	// stopping, no known VM leads, and no known VM that is not stopping precedes it in the
+	// order. In addition, either its calls to the store have failed for
 	// storeOutageTimeout and the store has recently answered no known VM, or it sees a
 	// majority and no VM has led for LeaderTimeout.
 	LeadsAsDeputy bool
@@ -153,14 +164,14 @@
 		}
 	}
 	d.ReadsList = !self.StoreUnavailable && !self.Stopping && precedingReachable == 0
-	d.Candidate = precedingReachable < Candidates
+	d.Candidate = precedingReachable < Candidates && (!self.Forming || self.IsSeed)
 	d.AmongFirstWatchers = preceding < Watchers
 	d.WatchesConfig = precedingReachable < Watchers || !peerWatches
 	d.LeavesRetriesToOthers = peerWatches && !storeReached && !d.AmongFirstWatchers
 	d.SeesMajority = 2*seen > self.LiveVMs
 	storeOutage := self.StoreUnavailable && !storeReached && now.Sub(self.UnavailableSince) >= storeOutageTimeout
 	leaderless := d.SeesMajority && now.Sub(self.LeaderLastSeen) >= LeaderTimeout
-	d.LeadsAsDeputy = mayBeFirst && !d.OtherLeads && (storeOutage || leaderless)
+	d.LeadsAsDeputy = !self.Forming && mayBeFirst && !d.OtherLeads && (storeOutage || leaderless)
 	return d
 }
 
