A leader's fencing token passes those that only the engines know

What callers saw: after a loss of power of all VMs layers that were lost stay lost while no leader is chosen by the group. Cause: the highest known token is kept in the VMs' memory only; a deputy whose token is refused kept it and led no more, which made the next VM a deputy; a leader of the group raised its token by one each 0.3 s. Class: state that outlives the memory of those who compare with it. Change: a leader or deputy that sees a majority and no other leader raises its token by 1, 2^10, 2^20, 2^30 until an engine accepts an order. The refused token is read under its lock (a data race before).

--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -81,10 +81,15 @@
 	// storeBackAt is when the store answered again while this VM led as a deputy.
 	storeBackAt time.Time
 	// fencingToken is the token of this VM's orders, 0 before its first ones.
-	fencingToken    uint64
-	maxRefusedToken uint64 // the highest own token that an engine refused
-	mu              sync.Mutex
-	orders          map[fleet.UpstreamID]*placementOrder
+	fencingToken uint64
+	// tokenRaises counts the raises of the token since an engine last began an order.
+	tokenRaises int
+	mu          sync.Mutex
+	// maxRefusedToken is the highest own token that an engine refused.
+	maxRefusedToken uint64
+	// orderBegun is set when an engine began an order with the current token.
+	orderBegun bool
+	orders     map[fleet.UpstreamID]*placementOrder
 	// planningSince, engineCountChangedAt, engineCount and lastPlan are shared by all services that
 	// have engines.
 	planningSince        time.Time
@@ -173,7 +178,7 @@
 		}
 		l.updateDeputy()
 		l.raiseToken()
-		active := (l.holdsLease && time.Now().Before(l.leaseUntil) || l.deputy) && l.fencingToken > l.maxRefusedToken
+		active := l.isActive(time.Now())
 		g.leading.Store(active)
 		if active {
 			l.placeLayers(ctx)
@@ -206,18 +211,53 @@
 	}
 }
 
-// raiseToken gives the holder of the partition a token above all known ones after an engine
-// refused its token: a deputy led in the meantime. It waits until no other VM reports that it
-// leads.
+// isActive reports whether this VM gives orders.
+func (l *leader) isActive(now time.Time) bool {
+	return (l.holdsLease && now.Before(l.leaseUntil) || l.deputy) && l.fencingToken > l.highestRefusedToken()
+}
+
+// highestRefusedToken returns the highest own token that an engine refused.
+func (l *leader) highestRefusedToken() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.maxRefusedToken
+}
+
+// recordRefusedToken records that an engine refused a token of this VM.
+func (l *leader) recordRefusedToken(token uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxRefusedToken = max(l.maxRefusedToken, token)
+}
+
+// raiseToken gives the leader a token above all known ones after an engine refused its token:
+// another VM led in the meantime, or before all VMs lost their memory. It waits until no other
+// VM reports that it leads. As only the engines may know the token that they compare with, each
+// further raise is larger.
 func (l *leader) raiseToken() {
-	if d := l.g.storeDuty.Load(); !l.holdsLease || l.fencingToken > l.maxRefusedToken || d.OtherLeads || !d.SeesMajority {
+	l.mu.Lock()
+	refused := l.maxRefusedToken
+	if l.orderBegun {
+		l.orderBegun, l.tokenRaises = false, 0
+	}
+	l.mu.Unlock()
+	if d := l.g.storeDuty.Load(); !l.holdsLease && !l.deputy || l.fencingToken > refused || d.OtherLeads || !d.SeesMajority {
 		return
 	}
-	l.fencingToken = max(l.g.highestToken.Load(), l.maxRefusedToken) + 1
+	l.fencingToken = max(l.g.highestToken.Load(), refused) + 1<<min(tokenRaiseShift*l.tokenRaises, maxTokenRaiseShift)
+	l.tokenRaises++
 	l.g.observeToken(l.fencingToken)
 	l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fencingToken).Str("reason", "no other leads any more").Send()
 }
 
+const (
+	// tokenRaiseShift is the number of bits by which each further raise of a token exceeds the
+	// one before. Three raises pass any generation that the group reaches in practice.
+	tokenRaiseShift = 10
+	// maxTokenRaiseShift keeps tokens exact in JSON numbers, which have 53 bits.
+	maxTokenRaiseShift = 40
+)
+
 // renewal is the outcome of a call that joins the group or renews the membership.
 type renewal struct {
 	began      time.Time
@@ -277,14 +317,16 @@
 		l.fencingToken = l.nextToken(heldBefore)
 		l.g.observeToken(l.fencingToken)
 	}
-	if l.holdsLease != heldBefore {
-		id := event.PlacementLeaseTaken
-		if heldBefore {
-			id = event.PlacementLeaseLost
-		}
-		l.g.log.Log(id).Uint64("epoch", l.fencingToken).Str("reason", "group").Send()
-		l.forgetOrders()
+	if l.holdsLease == heldBefore {
+		return
 	}
+	switch {
+	case l.holdsLease:
+		l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fencingToken).Str("reason", "group").Send()
+	default:
+		l.g.log.Log(event.PlacementLeaseLost).Uint64("epoch", l.fencingToken).Str("reason", "group").Send()
+	}
+	l.forgetOrders()
 }
 
 // resetOnNewEra discards the membership and any lease from a replaced copy of the store, and
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -288,6 +288,8 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		switch result {
+		case platform.OrderBegun:
+			l.orderBegun = true
 		case platform.OrderFenced:
 			l.maxRefusedToken = max(l.maxRefusedToken, fencingToken)
 		case platform.OrderConflict, platform.OrderRefused:
