Orders continue until the VM that the group chose leads

What callers saw: layers of engines that crash while VMs restart are placed again seconds later. Cause: the VM that loses the partition stops at once, the one that gets it learns it with its next renewal or has ended itself; a deputy leads after 1.5 s. Test: TestOrdersContinueUntilTheNextLeaderActs (failed before).

--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -307,7 +307,7 @@
 		l.g.control.recordStoreFailure(r.call, r.err)
 		return
 	}
-	heldBefore := l.holdsLease
+	heldBefore, leaseValid := l.holdsLease, time.Now().Before(l.leaseUntil)
 	l.groupGeneration, l.holdsLease = r.groupState.Generation, false
 	for _, p := range r.groupState.Partitions {
 		l.holdsLease = l.holdsLease || p == leadPartition
@@ -323,6 +323,12 @@
 	switch {
 	case l.holdsLease:
 		l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fencingToken).Str("reason", "group").Send()
+	case leaseValid && !l.g.storeDuty.Load().OtherLeads:
+		// The VM that holds the partition now learns it with its next renewal, if it lives.
+		// Until it leads, the orders continue; its token is higher.
+		l.deputy = true
+		l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fencingToken).Str("reason", "deputy: until the VM that the group chose leads").Send()
+		return
 	default:
 		l.g.log.Log(event.PlacementLeaseLost).Uint64("epoch", l.fencingToken).Str("reason", "group").Send()
 	}
--- a/pkg/gateway/lead_test.go
+++ b/pkg/gateway/lead_test.go
@@ -28,6 +28,24 @@
 	return r
 }
 
+// TestOrdersContinueUntilTheNextLeaderActs guards against seconds without a leader each time
+// the group moves its partitions, as it does whenever a member restarts.
+func TestOrdersContinueUntilTheNextLeaderActs(t *testing.T) {
+	is := is.New(t)
+	l := newTestLeader()
+	l.applyRenewal(answer(5, true))
+	l.updateDeputy()
+	is.True(l.isActive(time.Now()))
+	token := l.fencingToken
+	l.applyRenewal(answer(6, false))
+	l.updateDeputy()
+	is.True(l.isActive(time.Now()))
+	is.Equal(l.fencingToken, token) // below that of the next holder
+	l.g.storeDuty.Store(&storewatch.Duty{SeesMajority: true, OtherLeads: true})
+	l.updateDeputy()
+	is.True(!l.isActive(time.Now()))
+}
+
 // TestPausedLeaderDoesNotContinue guards against orders of a VM that was paused beyond its
 // lease, while another one may have led.
 func TestPausedLeaderDoesNotContinue(t *testing.T) {
