Loads that complete a data centre come first

Cause: loads were ordered by length only. Class: scarce slots given out without regard to what completes. Change: layout.NextLoads, missing layers before copies, the data centre that lacks the fewest layers first.

--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/cornelline/cornelline/pkg/catalog"
@@ -72,7 +70,7 @@
 		return
 	}
 	loading := 0
-	var wanted []roster.Upstream
+	var wanted []fleet.UpstreamID
 	l.mu.Lock()
 	for _, u := range byID {
 		pending := l.orders[u.ID]
@@ -83,7 +81,7 @@
 		// An engine that is not paused or stopping is ordered to load its target, unless an order
 		// for the same target was given less than orderRetryAfter ago.
 		if target := plan[u.ID]; target.Len() > 0 && target != u.Layers && !l.isPausedOrEnding(u) && (pending == nil || pending.target != target || now.Sub(pending.orderedAt) > orderRetryAfter) {
-			wanted = append(wanted, u)
+			wanted = append(wanted, u.ID)
 		}
 	}
 	l.mu.Unlock()
@@ -92,11 +90,8 @@
 	if l.g.hasReceivedRequest() {
 		limit = max(0, max(service.Engine.FullSpeedLoads, 1)-loading)
 	}
-	slices.SortStableFunc(wanted, func(a, b roster.Upstream) int { // longest loads first
-		return cmp.Compare(plan[b.ID].Len(), plan[a.ID].Len())
-	})
-	for _, u := range wanted[:min(limit, len(wanted))] {
-		target := plan[u.ID]
+	for _, id := range layout.NextLoads(service.Engine, engines, plan, wanted, limit) {
+		u, target := byID[id], plan[id]
 		// An engine normally waits for the requests on its layers before it drops them, which
 		// takes as long as a generation. It gives them up at once if it keeps none of its layers
 		// and its data centre lacks layers: few chains can then be running on it.
