Requests that other VMs received count as the start of traffic

What callers could see: layers missing for several times as long as needed after a restart of a VM that leads. Cause: whether traffic has started was what this VM itself had received; a leader without a request of its own yet (just started, or avoided by callers) orders all loads at once, which then share the bandwidth of FullSpeedLoads, and asks no engine for reports. Class: a fact about the fleet judged by what one VM saw. Change: reservations or requests in another VM's state count. Test: TestRequestsOfOtherVMsCount (failed before).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -105,7 +105,8 @@
 	// known.
 	initialStateKnown chan struct{}
 
-	// requestReceived is set by the first request of a caller.
+	// requestReceived is set by the first request of a caller that this VM or another one
+	// received.
 	requestReceived atomic.Bool
 
 	crashes            *crashHistory
@@ -253,5 +254,6 @@
 // random returns a number in [0, 1).
 func random() float64 { return rand.Float64() }
 
-// hasReceivedRequest reports whether a caller has sent a request to this VM.
+// hasReceivedRequest reports whether a caller has sent a request to this VM or, as far as known,
+// to another one.
 func (g *Gateway) hasReceivedRequest() bool { return g.requestReceived.Load() }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -184,6 +184,9 @@
 	c.recordPeerNotices(now, s)
 	c.g.observePeerEra(s.Era, string(s.VM))
 	c.reservationsChanged = true
+	if hasRequests(s) {
+		c.g.requestReceived.Store(true)
+	}
 	if offered := (storeera.Version{RevertEra: s.RevertEra, Number: s.ConfigVersion}); offered.After(c.configuration.InForce()) {
 		c.fetchConfig(s.VM)
 	}
@@ -192,6 +195,11 @@
 	}
 }
 
+// hasRequests reports whether another VM serves requests or has received some recently.
+func hasRequests(s *peering.State) bool {
+	return len(s.Reservations) > 0 || slices.ContainsFunc(s.Budgets, func(b peering.BudgetUse) bool { return b.Requests > 0 })
+}
+
 // removePeer drops the state of another VM, with its reservations.
 func (c *control) removePeer(id fleet.VMID) {
 	if p := c.peers[id]; p != nil {
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -80,3 +80,21 @@
 	c.dropSilentPeers(now.Add(peerStateTTL + time.Millisecond))
 	is.Equal(reserved(), 0.0)
 }
+
+// TestRequestsOfOtherVMsCount guards against a leader that has received no request itself, as
+// after a restart, and orders all loads at once: each then takes several times as long.
+func TestRequestsOfOtherVMsCount(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	for _, s := range []peering.State{
+		{Reservations: []peering.Reservation{peering.NewReservation("e", 1000, 1, 900)}},
+		{Budgets: []peering.BudgetUse{{Service: 1, Requests: 1}}},
+	} {
+		g := newTestGateway(&log)
+		s.VM, s.Started = "a", 1
+		g.control.receiveState(time.Now(), &peering.State{VM: "b", Started: 1, Budgets: []peering.BudgetUse{{Service: 1}}})
+		is.True(!g.hasReceivedRequest())
+		g.control.receiveState(time.Now(), &s)
+		is.True(g.hasReceivedRequest())
+	}
+}
