Entry: quarantine messages are encoded once for all VMs

The same cause as in the gateway's state messages, found by looking for it elsewhere: each message was encoded again for each VM. Behaviour is unchanged; TestBroadcastEncodesOnce covers the transport.

--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -44,11 +44,13 @@
 // sendQuarantineMessage sends a quarantine message to the VM m.To, or to all VMs when
 // m.To is empty.
 func (s *Server) sendQuarantineMessage(m quarantine.Message) {
+	var addresses []string
 	for id, address := range s.peerAddresses() {
 		if m.To == "" || m.To == id {
-			_ = s.peers.Send(address, &m) // a loss is harmless: wants are repeated, and later crashes spread suspicions too
+			addresses = append(addresses, address)
 		}
 	}
+	_ = s.peers.Broadcast(addresses, &m) // a loss is harmless: wants are repeated, and later crashes spread suspicions too
 }
 
 // respond answers a peer's request.
