Reservations in state messages are decoded without reflection

Cause: a state message of 60 reservations took 26.6 us and 69 allocations to decode, 140 of 620 ms of a profile of one message after the other; a VM of the large site receives about 350 a second, and a message costs both ends together some 115 us. Change: Reservation.DecodeMsgpack; the format is the same. Test: TestReservationsDecodeLikeOtherStructs (against the library).

--- a/pkg/peering/reservation.go
+++ b/pkg/peering/reservation.go
@@ -1,9 +1,13 @@
 package peering
 
 import (
+	"errors"
+	"fmt"
 	"hash/fnv"
 	"math"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/cornelline/cornelline/pkg/fleet"
 )
 
@@ -39,6 +43,34 @@
 	return uint16(min(math.Ceil(max(v, 0)/unit), math.MaxUint16))
 }
 
+// reservationFields is the number of fields of an encoded Reservation.
+const reservationFields = 4
+
+// errReservationFields is returned for a reservation with another number of fields.
+var errReservationFields = errors.New("reservation has an unexpected number of fields")
+
+// DecodeMsgpack decodes a reservation. Each VM of a large fleet decodes some thousand of them a
+// second, for which the reflection of the library takes longer. Like the library, it rejects
+// another number of fields.
+func (p *Reservation) DecodeMsgpack(d *msgpack.Decoder) error {
+	*p = Reservation{}
+	n, err := d.DecodeArrayLen()
+	if err != nil || n <= 0 {
+		return err
+	}
+	if n != reservationFields {
+		return fmt.Errorf("%w: %d", errReservationFields, n)
+	}
+	var values [reservationFields]uint64
+	for i := range values {
+		if values[i], err = d.DecodeUint64(); err != nil {
+			return err
+		}
+	}
+	p.Upstream, p.KV, p.Requests, p.Tokens = uint32(values[0]), uint16(values[1]), uint16(values[2]), uint16(values[3])
+	return nil
+}
+
 // Values returns the reserved memory in tokens x layers, the requests and the tokens.
 func (p Reservation) Values() (kv, requests, tokens float64) {
 	return float64(p.KV) * kvUnit, float64(p.Requests), float64(p.Tokens) * tokenUnit
--- a/pkg/peering/reservation_test.go
+++ b/pkg/peering/reservation_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
@@ -46,3 +48,36 @@
 	is.NoErr(err)
 	is.True(size < 1500)
 }
+
+// TestReservationsDecodeLikeOtherStructs guards against a decoder of its own that reads state
+// messages of other builds differently: the sender encodes reservations as any other struct.
+func TestReservationsDecodeLikeOtherStructs(t *testing.T) {
+	type plain peering.Reservation // without the decoder
+	rapid.Check(t, func(t *rapid.T) {
+		want := plain{
+			Upstream: rapid.Uint32().Draw(t, "upstream"), KV: rapid.Uint16().Draw(t, "kv"),
+			Requests: rapid.Uint16().Draw(t, "requests"), Tokens: rapid.Uint16().Draw(t, "tokens"),
+		}
+		message := &peering.State{Reservations: []peering.Reservation{peering.Reservation(want), {}, peering.Reservation(want)}}
+		kind, payload, err := wire.Encode(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := wire.Decode(kind, payload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := decoded.(*peering.State).Reservations; !slices.Equal(got, message.Reservations) {
+			t.Fatalf("%v decodes as %v", message.Reservations, got)
+		}
+	})
+	is := is.New(t)
+	for _, encoded := range [][]byte{{0x94, 1, 2, 3, 4}, {0x92, 1, 2}, {0x95, 1, 2, 3, 4, 5}, {0x94, 1, 2}, {0x94, 1, 2, 3, 0xa1, 'x'}, {0xc0}, {0x90}, {1}} {
+		got, want := peering.Reservation{Upstream: 9}, plain{}
+		errGot, errWant := msgpack.Unmarshal(encoded, &got), msgpack.Unmarshal(encoded, &want)
+		is.Equal(errGot == nil, errWant == nil)
+		if errWant == nil {
+			is.Equal(got, peering.Reservation(want))
+		}
+	}
+}
--- a/pkg/wire/broadcast_test.go
+++ b/pkg/wire/broadcast_test.go
@@ -51,3 +51,20 @@
 		}
 	}
 }
+
+func BenchmarkDecodeState(b *testing.B) {
+	s := &peering.State{VM: "front-ost-a-1", Started: 1785000000000, Sequence: 10000, FencingToken: 30 << 20, ConfigVersion: 40}
+	for i := range 60 {
+		s.Reservations = append(s.Reservations, peering.NewReservation(fleet.UpstreamID(fmt.Sprint(i)), 300e3, 20, 18e3))
+	}
+	kind, payload, err := Encode(s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Decode(kind, payload); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
