Unchanged states are sent at half the rate within a large data centre

Change: of two regular messages in a row with the same reservations, view, refusals and roles, the first is left out; a change is sent as early as before, and notices at once. A VM is heard at least each 300 ms, and taken for gone after 500. Fleets whose VMs all get the same messages (up to 32 VMs) are not affected. Test: TestUnchangedStateIsSentLessOften.

--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -137,8 +137,10 @@
 	// between the data centres.
 	maxCrossingChains int
 	vms               int
-	sharing           sharingState
-	searchState       searchState
+	// changes counts the reservations made and released.
+	changes     uint64
+	sharing     sharingState
+	searchState searchState
 }
 
 // New returns an allocator without servers for a VM in the data centre localDC.
@@ -237,6 +239,9 @@
 	return loads
 }
 
+// Changes returns a number that increases with each reservation and each release.
+func (a *Allocator) Changes() uint64 { return a.changes }
+
 const (
 	// refusalBackoff is the first backoff after a server refused its stage of a chain: the
 	// memory that it lacked becomes free as generations end. The backoff doubles with
@@ -334,6 +339,7 @@
 }
 
 func (a *Allocator) adjustLoads(c *Chain, sign float64) {
+	a.changes++
 	tokens := float64(c.need.PromptTokens + c.need.AnswerTokens)
 	for _, stage := range c.Stages {
 		s := a.byID[stage.Server]
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -88,6 +88,8 @@
 
 	dirty    bool   // a new view must be published
 	sequence uint64 // of the state messages to the other VMs
+	// sentVersion identifies the last state sent to the VMs of the own data centre.
+	sentVersion stateVersion
 	// nearStateTimer schedules the state messages to the VMs of the own data centre.
 	nearStateTimer peering.StateTimer
 	// farStateTimer schedules those to the VMs of other data centres.
--- a/pkg/gateway/gate.go
+++ b/pkg/gateway/gate.go
@@ -139,6 +139,13 @@
 	return out
 }
 
+// reservationChanges returns a number that increases when this VM's reservations change.
+func (g *gate) reservationChanges() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.chains.Changes()
+}
+
 // setPeerLoad sets the load that the other VMs have reserved on each engine.
 func (g *gate) setPeerLoad(load func(fleet.UpstreamID) chain.Load) {
 	g.mu.Lock()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -276,14 +276,19 @@
 	if len(v.peerAddresses) == 0 {
 		return
 	}
-	near := c.nearStateTimer.Due(now, peering.StateInterval(v.nearVMs), random())
+	oneGroup := v.vms <= v.nearVMs || peering.RemoteStateInterval(v.vms) == peering.StateInterval(v.nearVMs)
+	version := c.stateVersion()
+	near := c.nearStateTimer.DueIfChanged(now, peering.StateInterval(v.nearVMs), random(), oneGroup || version != c.sentVersion)
 	far := c.farStateTimer.Due(now, peering.RemoteStateInterval(v.vms), random())
-	if v.vms <= v.nearVMs || peering.RemoteStateInterval(v.vms) == peering.StateInterval(v.nearVMs) {
+	if oneGroup {
 		far = near // one message serves both groups
 	}
 	if !near && !far {
 		return
 	}
+	if near {
+		c.sentVersion = version
+	}
 	c.sequence++
 	s := &peering.State{
 		VM: c.g.settings.Self.ID, Started: c.g.started.UnixMilli(), Sequence: c.sequence, Stopping: c.g.shutdown.isStopping(),
@@ -334,6 +339,22 @@
 	_ = c.g.peers.Broadcast(addresses, s) // the next state message replaces a lost one
 }
 
+// stateVersion identifies what a state message says, apart from counters and ages.
+type stateVersion struct {
+	view              *view
+	reservations      uint64
+	refused           bool
+	leading, stopping bool
+}
+
+func (c *control) stateVersion() stateVersion {
+	s := stateVersion{view: c.g.view.Load(), refused: c.g.refusedGenerations.hasUnsent(), leading: c.g.leading.Load(), stopping: c.g.shutdown.isStopping()}
+	for _, gate := range c.gates {
+		s.reservations += gate.reservationChanges()
+	}
+	return s
+}
+
 // broadcastListing sends a listing to the other VMs. An empty one confirms that the list has
 // not changed.
 func (c *control) broadcastListing(l roster.Listing) {
--- a/pkg/gateway/refused.go
+++ b/pkg/gateway/refused.go
@@ -56,6 +56,13 @@
 	return ok && now.Sub(when) <= refusedGenerationTTL
 }
 
+// hasUnsent reports whether takeUnsent would return any.
+func (r *refusedSet) hasUnsent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.unsent) > 0
+}
+
 // takeUnsent returns the refusals by this VM since the last call.
 func (r *refusedSet) takeUnsent() []uint64 {
 	r.mu.Lock()
--- a/pkg/peering/timer.go
+++ b/pkg/peering/timer.go
@@ -40,6 +40,8 @@
 type StateTimer struct {
 	next      time.Time
 	requested bool
+	// leftOut is set if the last regular message was left out.
+	leftOut bool
 }
 
 // SendNow requests one message at once, in addition to the regular ones.
@@ -48,6 +50,12 @@
 // Due reports whether a message is due, and then schedules the next one. mean is the mean
 // interval between regular messages. random, in [0, 1), varies it by up to half.
 func (t *StateTimer) Due(now time.Time, mean time.Duration, random float64) bool {
+	return t.DueIfChanged(now, mean, random, true)
+}
+
+// DueIfChanged is Due for a state that other VMs need less often while it does not change: of
+// two regular messages in a row with an unchanged state, the first is left out.
+func (t *StateTimer) DueIfChanged(now time.Time, mean time.Duration, random float64, changed bool) bool {
 	regular := !now.Before(t.next)
 	if !regular && !t.requested {
 		return false
@@ -55,6 +63,10 @@
 	if regular {
 		t.next = now.Add(time.Duration((0.5 + random) * float64(mean)))
 	}
-	t.requested = false
+	if !changed && !t.requested && !t.leftOut {
+		t.leftOut = true
+		return false
+	}
+	t.requested, t.leftOut = false, false
 	return true
 }
--- a/pkg/peering/timer_test.go
+++ b/pkg/peering/timer_test.go
@@ -74,3 +74,32 @@
 		is.True(received <= 325) // 32 VMs at 10 a second, and the one at the start
 	}
 }
+
+// TestUnchangedStateIsSentLessOften guards against a large fleet that spends most of its
+// processor time on messages that repeat the ones before. A VM must still be heard often enough
+// that others do not take it for gone, and a changed state must not wait longer than before.
+func TestUnchangedStateIsSentLessOften(t *testing.T) {
+	is := is.New(t)
+	const mean = 100 * time.Millisecond
+	random := rand.New(rand.NewPCG(3, 1))
+	var timer peering.StateTimer
+	start := time.Unix(1e9, 0)
+	last, sent, longest := start, 0, time.Duration(0)
+	for now := start; now.Before(start.Add(100 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if timer.DueIfChanged(now, mean, random.Float64(), false) {
+			sent++
+			longest, last = max(longest, now.Sub(last)), now
+		}
+	}
+	is.True(sent > 400 && sent < 550)                  // about 1,000 with a changed state
+	is.True(longest <= 2*mean*3/2+20*time.Millisecond) // two of the longest intervals
+	timer.SendNow()
+	is.True(timer.DueIfChanged(last, mean, 0.5, false))
+	changed := 0
+	for now := start; now.Before(start.Add(100 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if timer.DueIfChanged(now.Add(time.Hour), mean, random.Float64(), true) {
+			changed++
+		}
+	}
+	is.True(changed > 850)
+}
