An engine that does not answer is given no layers

Timeline: an engine that had restarted is silent again at 29.97 s; at 30.87 s the plan gives it layers 0-28 and moves four engines of its data centre to match, two of them at once; at 31.13 s it counts as lost, and the two are moved back: seven seconds without layers that were there. Cause: an ejected engine stayed an engine like others until it counts as lost, 0.8 s later. Class: a plan that counts on what does not answer. Change: layout.Engine.Unavailable: it keeps what it holds and is given nothing.

--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		byID[u.ID] = u
-		engine := layout.Engine{ID: u.ID, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card], HeldLayers: u.Layers}
+		engine := layout.Engine{ID: u.ID, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card], HeldLayers: u.Layers, Unavailable: v.ejected[u.ID]}
 		serving = append(serving, engine)
 		engine.HeldLayers = l.expectedLayers(now, u)
 		engine.Settling = l.isSettling(now, u)
--- a/pkg/layout/layout.go
+++ b/pkg/layout/layout.go
@@ -27,6 +27,14 @@
 	// missing layers but no second copies: a release starts an engine before the one that
 	// it replaces drains, and an engine that is loading a copy could not take over.
 	Settling bool
+	// Unavailable is set while the engine does not answer. It keeps its place for the layers that
+	// it holds, because it may be back soon, but is given no others.
+	Unavailable bool
+}
+
+// availableEngines returns the engines that may be given layers.
+func availableEngines(engines []Engine) []Engine {
+	return slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Unavailable })
 }
 
 // Plan maps engines to layer ranges. Engines without an entry hold no layers.
@@ -81,6 +89,7 @@
 func PlanFromScratch(e *catalog.Engine, engines []Engine) Plan {
 	p := newPlanner(e)
 	plan := Plan{}
+	engines = availableEngines(engines)
 	for _, dc := range dataCentres(engines) {
 		p.planDataCentre(inDataCentre(engines, dc), plan)
 	}
--- a/pkg/layout/repair.go
+++ b/pkg/layout/repair.go
@@ -68,7 +68,7 @@
 		}
 	}
 	for i := range state {
-		if state[i].HeldLayers.Len() > 0 || state[i].Settling {
+		if state[i].HeldLayers.Len() > 0 || state[i].Settling || state[i].Unavailable {
 			continue
 		}
 		if r := p.rangeForCopy(state[i].Card, state); r.Len() > 0 {
@@ -114,7 +114,7 @@
 func (p *planner) extendNeighbours(gap fleet.LayerRange, state []Engine, tokens float64) bool {
 	below, above, roomBelow, roomAbove := -1, -1, 0, 0
 	for i, e := range state {
-		if e.HeldLayers.Len() == 0 {
+		if e.HeldLayers.Len() == 0 || e.Unavailable {
 			continue
 		}
 		room := p.maxLayers(e.Card, tokens) - e.HeldLayers.Len()
@@ -147,6 +147,7 @@
 // complete chains of others.
 func (p *planner) replanDataCentre(engines []Engine, plan Plan) {
 	fresh := Plan{}
+	engines = availableEngines(engines)
 	p.planDataCentre(engines, fresh)
 	fresh = minimizeMoves(engines, fresh)
 	if !isComplete(p.engine.Layers, engines, fresh) {
@@ -232,7 +233,7 @@
 	}
 	best := -1
 	for i, e := range engines {
-		if p.maxLayers(e.Card, minGenerations*p.meanTokens) == 0 || !isRedundant(e, copies) {
+		if e.Unavailable || p.maxLayers(e.Card, minGenerations*p.meanTokens) == 0 || !isRedundant(e, copies) {
 			continue
 		}
 		if best < 0 || p.prefersForGap(gap, e, engines[best]) {
