A leader that cannot hear the others stops when it loses the lead

Change: it goes on only while it sees a majority, as for raised tokens. Test: TestPartitionedLeaderDoesNotContinue (failed before).

--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -303,8 +303,9 @@
 
 // IsComplete reports whether the available servers, without those in avoid, hold every layer.
 func (a *Allocator) IsComplete(now time.Time, avoid map[fleet.UpstreamID]bool) bool {
-	held := 0                     // the layers below it are held
-	for _, s := range a.servers { // sorted by first layer
+	held := 0 // the layers below it are held
+	// The servers are sorted by first layer.
+	for _, s := range a.servers {
 		if s.Layers.First <= held && s.isAvailable(now, avoid) {
 			held = max(held, s.Layers.End)
 		}
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -241,7 +241,7 @@
 		l.orderBegun, l.tokenRaises = false, 0
 	}
 	l.mu.Unlock()
-	if d := l.g.storeDuty.Load(); !l.holdsLease && !l.deputy || l.fencingToken > refused || d.OtherLeads || !d.SeesMajority {
+	if !l.holdsLease && !l.deputy || l.fencingToken > refused || !l.seesNoOtherLeader() {
 		return
 	}
 	l.fencingToken = max(l.g.highestToken.Load(), refused) + 1<<min(tokenRaiseShift*l.tokenRaises, maxTokenRaiseShift)
@@ -252,7 +252,7 @@
 
 const (
 	// tokenRaiseShift is the number of bits by which each further raise of a token exceeds the
-	// one before. Three raises pass any generation that the group reaches in practice.
+	// one before. Four raises pass 1,024 generations of the group.
 	tokenRaiseShift = 10
 	// maxTokenRaiseShift keeps tokens exact in JSON numbers, which have 53 bits.
 	maxTokenRaiseShift = 40
@@ -323,7 +323,7 @@
 	switch {
 	case l.holdsLease:
 		l.g.log.Log(event.PlacementLeaseTaken).Uint64("epoch", l.fencingToken).Str("reason", "group").Send()
-	case leaseValid && !l.g.storeDuty.Load().OtherLeads:
+	case leaseValid && l.seesNoOtherLeader():
 		// The VM that holds the partition now learns it with its next renewal, if it lives.
 		// Until it leads, the orders continue; its token is higher.
 		l.deputy = true
@@ -335,6 +335,13 @@
 	l.forgetOrders()
 }
 
+// seesNoOtherLeader reports whether this VM receives state from most of the fleet, so that it
+// would know of another leader, and knows of none.
+func (l *leader) seesNoOtherLeader() bool {
+	d := l.g.storeDuty.Load()
+	return d.SeesMajority && !d.OtherLeads
+}
+
 // resetOnNewEra discards the membership and any lease from a replaced copy of the store, and
 // reports whether the store has been replaced. The group is joined again without delay.
 func (l *leader) resetOnNewEra() bool {
--- a/pkg/gateway/lead_test.go
+++ b/pkg/gateway/lead_test.go
@@ -46,6 +46,18 @@
 	is.True(!l.isActive(time.Now()))
 }
 
+// TestPartitionedLeaderDoesNotContinue guards against orders of a VM that lost the lead and would
+// not hear of the next leader.
+func TestPartitionedLeaderDoesNotContinue(t *testing.T) {
+	is := is.New(t)
+	l := newTestLeader()
+	l.applyRenewal(answer(5, true))
+	l.g.storeDuty.Store(&storewatch.Duty{})
+	l.applyRenewal(answer(6, false))
+	l.updateDeputy()
+	is.True(!l.isActive(time.Now()))
+}
+
 // TestPausedLeaderDoesNotContinue guards against orders of a VM that was paused beyond its
 // lease, while another one may have led.
 func TestPausedLeaderDoesNotContinue(t *testing.T) {
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -280,13 +280,14 @@
 		if result == platform.OrderBegun || result == platform.OrderUnknown {
 			l.checkLoad(u, loadDuration)
 		}
+		if result == platform.OrderFenced {
+			l.recordRefusedToken(fencingToken)
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		switch result {
 		case platform.OrderBegun:
 			l.orderBegun = true
-		case platform.OrderFenced:
-			l.maxRefusedToken = max(l.maxRefusedToken, fencingToken)
 		case platform.OrderConflict, platform.OrderRefused:
 			pending.loadDeadline = time.Now()
 		}
