Log how long a VM took to fetch a configuration, and fetches that failed

The log showed when a version was in force on each VM, but not whether a late one was slow in transfer, failed, or was announced late. Event 408 now has the size and the time of the transfer, and event 413 names the VM that did not answer in time. Tests of pkg/event and pkg/gateway pass.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -54,6 +54,7 @@
 	EntryRejected    ID = 410
 	StoreRestored    ID = 411
 	StoreAnswerLate  ID = 412
+	ConfigNotFetched ID = 413
 )
 
 // Placement events.
@@ -108,6 +109,7 @@
 	ControlLate:      {"control_late", zerolog.WarnLevel},
 	ConfigInForce:    {"config_in_force", zerolog.InfoLevel},
 	ConfigRejected:   {"config_rejected", zerolog.ErrorLevel},
+	ConfigNotFetched: {"config_not_fetched", zerolog.WarnLevel},
 	EntryRejected:    {"upstream_entry_rejected", zerolog.WarnLevel},
 	UpstreamChanged:  {"upstream_changed", zerolog.InfoLevel},
 	UpstreamSlow:     {"upstream_slow", zerolog.InfoLevel},
--- a/pkg/gateway/configuration.go
+++ b/pkg/gateway/configuration.go
@@ -13,6 +13,8 @@
 type configRecord struct {
 	data    []byte
 	catalog *catalog.Catalog
+	// fetchTime is how long another VM took to send it; 0 if it was read from the store.
+	fetchTime time.Duration
 }
 
 // decodeConfig compiles a configuration and returns nil for an invalid one.
@@ -44,11 +46,12 @@
 }
 
 // applyPeerConfig applies the configuration of another VM if it is newer.
-func (c *control) applyPeerConfig(data []byte, reverted storeera.Era, vm string) {
+func (c *control) applyPeerConfig(data []byte, reverted storeera.Era, vm string, fetchTime time.Duration) {
 	r := c.decodeConfig(data, vm)
 	if r == nil {
 		return
 	}
+	r.fetchTime = fetchTime
 	c.post(func(now time.Time) {
 		if c.configuration.ObservePeerVersion(storeera.Version{RevertEra: reverted, Number: r.catalog.Version}, c.g.eras.era()) {
 			c.activateConfig(now, r, vm)
@@ -61,6 +64,7 @@
 	c.catalog, c.configData, c.pendingConfig, c.dirty = r.catalog, r.data, nil, true
 	c.nearStateTimer.SendNow()
 	c.farStateTimer.SendNow()
-	c.g.log.Log(event.ConfigInForce).Uint64("version", r.catalog.Version).Str("source", source).Send()
+	c.g.log.Log(event.ConfigInForce).Uint64("version", r.catalog.Version).Str("source", source).Int("bytes", len(r.data)).
+		Int64("fetch_ms", r.fetchTime.Milliseconds()).Send()
 	c.publish(now)
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -381,12 +381,15 @@
 	c.g.spawn("fetch", func() {
 		ctx, cancel := context.WithTimeout(c.g.runCtx, fetchTimeout)
 		defer cancel()
+		began := time.Now()
 		answer, err := c.g.peers.Call(ctx, address, want)
+		took := time.Since(began)
 		if offer, ok := answer.(*peering.ConfigOffer); ok && len(offer.Data) > 0 {
-			c.applyPeerConfig(offer.Data, offer.RevertEra, string(vm))
+			c.applyPeerConfig(offer.Data, offer.RevertEra, string(vm), took)
 		}
 		if err != nil {
 			c.g.stats.Count("config_fetches_failed")
+			c.g.log.Log(event.ConfigNotFetched).Str("peer", string(vm)).Int64("ms", took.Milliseconds()).Err(err).Send()
 		}
 		c.post(func(time.Time) { c.fetchingConfig = false })
 	})
