Copies of a configuration no longer fill the links of the VMs that read it

Cause: fan-out from few. Six VMs read the configuration; each of the other 112 fetched all of it (up to 262 KB) from the first VM that named the version. 19 copies take 0.8 s of a 50 Mbit/s link; fetches that were not done after 1 s began again elsewhere, while the late copies still went out.

Change: copies are compressed (262 KB to 26 KB), for peers that say so in their hello message, so that VMs of two builds work together; and a VM sends copies on at most half of its link (limits.link_mbps). Who gets none asks the next VM that names the version, and those become more with each copy.

Ruled out: late reads of the store (the six have it within 0.05 s), processor time (no control_late event).

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -54,12 +54,12 @@
 	// stallWatch finds runs that make no progress.
 	stallWatch *stall.Detector
 
-	// configuration, catalog and configData are the configuration in force: its version, its
-	// compiled form and, for other VMs, the bytes as they are in the store. pendingConfig is
-	// an older one that the operator wrote again and that is not in force yet.
+	// configuration, catalog and configRecord are the configuration in force: its version, its
+	// compiled form and, for other VMs, its record. pendingConfig is an older one that the
+	// operator wrote again and that is not in force yet.
 	configuration  storeera.Configuration
 	catalog        *catalog.Catalog
-	configData     []byte
+	configRecord   *configRecord
 	pendingConfig  *configRecord
 	fetchingConfig bool // a fetch from another VM is in progress
 	gates          map[catalog.ServiceID]*gate
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -28,6 +28,7 @@
 
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/exchange"
+	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/result"
 	"github.com/cornelline/cornelline/pkg/roster"
 	"github.com/cornelline/cornelline/pkg/stats"
@@ -113,6 +114,7 @@
 	panics             panics
 	refusedGenerations *refusedSet
 
+	configOffers configOffers
 	retryBudgets *retryBudgets
 	notices      *notices
 	eras         eraTracker
@@ -137,6 +139,7 @@
 		Dial: dial, IdleTimeout: upstreamIdleTimeout, MaxIdlePerAddress: maxIdlePerUpstream, Now: time.Now,
 		IsResponseTo: isAnswer, AnnouncedIdleTimeout: func(h http.Header) time.Duration { return platform.ParseReply(http.StatusOK, h).IdleTimeout },
 	})
+	g.configOffers.limiter = peering.NewOfferLimiter(settings.LinkBytesPerSecond)
 	g.view.Store(emptyView())
 	g.storeDuty.Store(&storewatch.Duty{AmongFirstWatchers: true})
 	g.storeFailedAt.Store(-int64(storeStablePeriod))
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -79,14 +79,14 @@
 }
 
 // respond answers a peer's request and converts a panic of the handler into an error.
-func (g *Gateway) respond(ctx context.Context, _ wire.Peer, m wire.Message) (answer wire.Message, err error) {
-	if !g.runRecovered("peer call", func() { answer, err = g.answer(ctx, m) }) {
+func (g *Gateway) respond(ctx context.Context, from wire.Peer, m wire.Message) (answer wire.Message, err error) {
+	if !g.runRecovered("peer call", func() { answer, err = g.answer(ctx, from, m) }) {
 		return nil, errHandlerPanicked
 	}
 	return answer, err
 }
 
-func (g *Gateway) answer(ctx context.Context, m wire.Message) (wire.Message, error) {
+func (g *Gateway) answer(ctx context.Context, from wire.Peer, m wire.Message) (wire.Message, error) {
 	if _, ok := m.(*peering.ListWant); ok {
 		return g.offerList(ctx)
 	}
@@ -94,20 +94,7 @@
 	if !ok {
 		return nil, errUnknownMessage
 	}
-	offer := make(chan *peering.ConfigOffer, 1)
-	g.control.post(func(time.Time) {
-		if v := g.control.configuration.InForce(); g.control.catalog != nil && v.After(want.Version) {
-			offer <- &peering.ConfigOffer{Data: g.control.configData, RevertEra: v.RevertEra}
-			return
-		}
-		offer <- &peering.ConfigOffer{}
-	})
-	select {
-	case o := <-offer:
-		return o, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return g.offerConfig(ctx, from, want)
 }
 
 // recordPeerFailure records why a connection to another VM ended.
@@ -385,7 +372,7 @@
 		answer, err := c.g.peers.Call(ctx, address, want)
 		took := time.Since(began)
 		if offer, ok := answer.(*peering.ConfigOffer); ok && len(offer.Data) > 0 {
-			c.applyPeerConfig(offer.Data, offer.RevertEra, string(vm), took)
+			c.applyPeerConfig(offer, string(vm), took)
 		}
 		if err != nil {
 			c.g.stats.Count("config_fetches_failed")
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -99,19 +99,6 @@
 	roster.Listing
 }
 
-// ConfigWant requests the configuration if it is newer than Version. A VM that has no
-// configuration sends the zero Version.
-type ConfigWant struct{ Version storeera.Version }
-
-// ConfigOffer answers a ConfigWant.
-type ConfigOffer struct {
-	// Data is the configuration in force, in the store's encoding. It is empty if the VM
-	// has no newer one.
-	Data []byte
-	// RevertEra is the RevertEra of the configuration's version.
-	RevertEra storeera.Era
-}
-
 // ListWant requests the whole list of upstreams.
 type ListWant struct{}
 
--- a/pkg/wire/handshake.go
+++ b/pkg/wire/handshake.go
@@ -30,8 +30,10 @@
 // hello is the first message that each side sends.
 type hello struct {
 	Version int
-	Nonce   []byte
-	VM      fleet.VMID
+	// Nonce consists of nonceSize random bytes and, after them, the sender's Feature set, which
+	// former builds neither send nor read.
+	Nonce []byte
+	VM    fleet.VMID
 	// Address is where the sender accepts connections.
 	Address string
 	// Instance is a random number that is new for each transport, so that a peer
@@ -39,14 +41,28 @@
 	Instance uint64
 }
 
+// Feature is a set of optional abilities that a peer states in its hello message. VMs of two
+// builds can thus work together while a fleet is upgraded.
+type Feature uint8
+
+// CompressedConfig: the peer reads compressed configurations.
+const CompressedConfig Feature = 1
+
+// ownFeatures are the abilities of this build.
+const ownFeatures = CompressedConfig
+
 // Peer identifies the other side of a connection.
 type Peer struct {
 	VM fleet.VMID
 	// Address is where the peer accepts connections. Send and Call take it as the address.
 	Address  string
+	features Feature
 	instance uint64
 }
 
+// Supports reports whether the peer has an ability.
+func (p Peer) Supports(f Feature) bool { return p.features&f == f }
+
 // session is an authenticated connection.
 type session struct {
 	net  net.Conn
@@ -68,8 +84,9 @@
 	s.reader.r = bufio.NewReaderSize(conn, bufferSize)
 	s.writer.w = bufio.NewWriterSize(conn, bufferSize)
 	own.Version = protocolVersion
-	own.Nonce = make([]byte, nonceSize)
+	own.Nonce = make([]byte, nonceSize, nonceSize+1)
 	_, _ = rand.Read(own.Nonce) // crypto/rand.Read never returns an error since Go 1.24
+	own.Nonce = append(own.Nonce, byte(ownFeatures))
 	if err := s.runHandshake(own, secret); err != nil {
 		return nil, fmt.Errorf("handshake: %w", err)
 	}
@@ -99,6 +116,9 @@
 		return fmt.Errorf("%w: %d, want %d", ErrVersion, peer.Version, protocolVersion)
 	}
 	s.peer = Peer{VM: peer.VM, Address: peer.Address, instance: peer.Instance}
+	if len(peer.Nonce) > nonceSize {
+		s.peer.features = Feature(peer.Nonce[nonceSize])
+	}
 	if s.dialled {
 		s.deriveKeys(secret, ownBody, peerBody)
 		return s.exchangeProofs()
