A body that is late when the answer is due is refused, not dropped a second later

Callers whose body was still on its way when their route's timeout passed got no answer: the connection was closed a second after it.

Cause: reading the body ended with the connection's deadline, which leaves time to read the answer, instead of with the time at which the answer is due.

Change: the body is read until the answer is due; then the request is refused as not run, with a Retry-After, and the connection ends. The deadline is set back afterwards, because the server reads on to notice that a caller leaves.

TestSlowBodyIsRefusedWhenTheAnswerIsDue fails on the code before (unexpected EOF, no answer) and passes now; TestSlowBodyIsGivenUp and TestStopWithBodyInFlight pass.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"time"
 
@@ -146,8 +147,8 @@
 	return c.readBody(cat.Limits.BodyBytes)
 }
 
-// callerGracePeriod is the time after its deadline that a caller has to finish sending the
-// body or reading the answer before its connection is closed.
+// callerGracePeriod is the time after its deadline that a caller has to finish reading the answer
+// before its connection is closed.
 const callerGracePeriod = time.Second
 
 // setConnDeadlines limits how long a slow caller can hold this request's goroutine, memory
@@ -211,18 +212,29 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(c.w, c.httpRequest.Body, limit)
 	}
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(c.answerDeadline) // not supported in tests without a network
 	data, err := io.ReadAll(body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return result.New(result.BodyTooLarge, result.NotRun, "the body is larger than %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.w.Header().Set("Connection", "close")
+		return notRunError(result.DeadlineExceeded, jitter(slowBodyRetryAfter))
 	case err != nil:
 		return result.New(result.CancelledByCaller, result.NotRun, "the body ended early").WithCause(err)
 	}
 	c.body = data
+	// The server reads on, to notice that the caller disconnects, and takes the end of the read
+	// deadline for that.
+	_ = control.SetReadDeadline(c.answerDeadline.Add(callerGracePeriod))
 	return nil
 }
 
+// slowBodyRetryAfter is the mean retry delay of a caller whose body did not arrive in time.
+const slowBodyRetryAfter = time.Second
+
 // timeRemaining returns the time until the answer is due.
 func (c *call) timeRemaining() time.Duration { return time.Until(c.answerDeadline) }
 
--- a/pkg/gateway/start_test.go
+++ b/pkg/gateway/start_test.go
@@ -59,6 +59,35 @@
 	is.Equal(d.runs.Count("slow"), 0)
 }
 
+// TestSlowBodyIsRefusedWhenTheAnswerIsDue guards against a request that gets no answer after its
+// route's timeout because its body is still on its way.
+func TestSlowBodyIsRefusedWhenTheAnswerIsDue(t *testing.T) {
+	is := is.New(t)
+	const (
+		timeout       = 400 * time.Millisecond
+		answerAllowed = 500 * time.Millisecond // after the timeout, by the platform's rules
+	)
+	d := deploy(t)
+	d.store.Put("keyed.op", "config", config(1, int(timeout.Milliseconds()), "k"))
+	d.start()
+	d.eventually("served", func() bool { return d.sendRequest(http.MethodGet, "/look/1", "l", "k", "").status == http.StatusOK })
+	c, err := net.Dial("tcp", d.settings.Self.Address)
+	is.NoErr(err)
+	defer c.Close()
+	began := time.Now()
+	_, err = io.WriteString(c, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: slow\r\nAuthorization: Bearer k\r\n"+
+		"Deadline-Milliseconds: 20000\r\nContent-Length: 10\r\n\r\nhalf")
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(began.Add(10 * time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err) // the connection was closed without an answer
+	is.True(time.Since(began) < timeout+answerAllowed)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Header.Get("Retry-After") != "")
+	is.True(resp.Close)
+	is.Equal(d.runs.Count("slow"), 0)
+}
+
 // TestStopWithBodyInFlight: a request whose head arrived before the order to stop and whose
 // body arrives after it gets a complete answer. So does a request on a kept-alive connection
 // right after the order.
