A VM's first read of the configuration ends with the timeout of a call

Cause: the read of the whole topic, which the store answers at once, had the time of a long poll, 20.6 s. It ended early only when another call of the VM failed, and none does when only that partition is silent.

Change: a whole read has the timeout of other calls, 1.5 s.

Class: a wait that no observation shortens.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -153,7 +153,11 @@
 	defer cancel()
 	g.cancelConfigRead.Store(&cancel)
 	wait := configPollTimeout
-	if time.Since(g.started)-time.Duration(g.storeFailedAt.Load()) < storeStablePeriod {
+	unstable := time.Since(g.started)-time.Duration(g.storeFailedAt.Load()) < storeStablePeriod
+	switch {
+	case whole: // answered at once
+		return g.readTopic(ctx, platform.OperatorTopic, next, whole, 0, storeTimeout)
+	case unstable:
 		wait = configShortPollTimeout
 	}
 	return g.readTopic(ctx, platform.OperatorTopic, next, whole, wait, wait+configReadSlack)
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -33,6 +33,23 @@
 	}
 }
 
+// TestStartWhileThePartitionOfTheConfigurationIsSilent guards against a VM without memory that
+// still waits for the answer to its first read long after the partition is back.
+func TestStartWhileThePartitionOfTheConfigurationIsSilent(t *testing.T) {
+	const bound = 5 * time.Second // well within recovery_s, of which loads of layers need the rest
+	d := deploy(t)
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.store.SetTopicSilent("keyed.op", true)
+	d.start()
+	time.Sleep(time.Second)
+	d.store.SetTopicSilent("keyed.op", false)
+	back := time.Now()
+	d.eventually("served", func() bool { return d.sendRequest(http.MethodGet, "/look/1", "l", "k", "").status == http.StatusOK })
+	if took := time.Since(back); took > bound {
+		t.Errorf("the VM served %v after the partition's return", took)
+	}
+}
+
 // TestOneVMReadsTheListForAll: the number of calls to the store must not grow with the
 // number of VMs, all VMs must learn of a change in time, and the others must continue when
 // the reader stops.
--- a/pkg/standin/userplatform/store.go
+++ b/pkg/standin/userplatform/store.go
@@ -48,7 +48,9 @@
 	loseAnswers bool
 	// silent accepts calls and never answers them.
 	silent bool
-	calls  int
+	// silentTopics and downTopics are the topics whose only partition is silent or down.
+	silentTopics, downTopics map[string]bool
+	calls                    int
 	// reads counts the reads per topic.
 	reads map[string]int
 	// era is incremented by each Restore; 0 omits its header.
@@ -57,7 +59,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: map[string]*topic{}, groups: map[string]*group{}, reads: map[string]int{}, changed: make(chan struct{}), era: 1}
+	return &Store{
+		topics: map[string]*topic{}, groups: map[string]*group{}, reads: map[string]int{}, changed: make(chan struct{}), era: 1,
+		silentTopics: map[string]bool{}, downTopics: map[string]bool{},
+	}
 }
 
 // Snapshot is the content of a store at one point in time.
@@ -130,6 +135,22 @@
 	}
 }
 
+// SetTopicSilent is SetSilent for one topic; the others are served.
+func (s *Store) SetTopicSilent(name string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentTopics[name] = silent
+	close(s.changed) // waiting reads check again
+	s.changed = make(chan struct{})
+}
+
+// SetTopicDown sets whether the store answers the calls for one topic with status 503.
+func (s *Store) SetTopicDown(name string, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downTopics[name] = down
+}
+
 // SetLoseAnswers sets whether writes take effect without an answer.
 func (s *Store) SetLoseAnswers(lose bool) {
 	s.mu.Lock()
@@ -201,9 +222,10 @@
 	s.mu.Lock()
 	s.calls++
 	if r.Method == http.MethodGet {
-		s.reads[r.URL.Query().Get("topic")]++
+		s.reads[topicName(r)]++
 	}
-	down, silent := s.down, s.silent
+	name := topicName(r)
+	down, silent := s.down || s.downTopics[name], s.silent || s.silentTopics[name]
 	s.setEraHeader(w)
 	s.mu.Unlock()
 	if silent {
@@ -231,6 +253,15 @@
 	}
 }
 
+// topicName returns the topic of a call; a partition other than 0 is part of the name.
+func topicName(r *http.Request) string {
+	name, part := r.URL.Query().Get("topic"), r.URL.Query().Get("part")
+	if part == "" || part == "0" {
+		return name
+	}
+	return name + "/" + part
+}
+
 func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,7 +272,7 @@
 	}
 	items := []item{}
 	end := 0
-	if t := s.topics[r.URL.Query().Get("topic")]; t != nil {
+	if t := s.topics[topicName(r)]; t != nil {
 		end = len(t.records)
 		newest := map[string]int{}
 		for i, rec := range t.records {
@@ -263,12 +294,12 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if s.silent {
+		if s.silent || s.silentTopics[topicName(r)] {
 			s.mu.Unlock()
 			<-r.Context().Done()
 			return
 		}
-		t, changed := s.topics[q.Get("topic")], s.changed
+		t, changed := s.topics[topicName(r)], s.changed
 		if t == nil {
 			t = &topic{}
 		}
@@ -307,7 +338,7 @@
 	if err != nil {
 		return
 	}
-	name := r.URL.Query().Get("topic")
+	name := topicName(r)
 	s.mu.Lock()
 	if at := r.URL.Query().Get("at"); at != "" {
 		end := 0
