One VM polls the configuration in short intervals

Callers: a changed time-out, route or key that was confirmed while the store's partition with the configuration was silent, or soon after, was in force up to 20 s late on all VMs (config_ms is 2 to 4 s: CONFIG).

Cause: six VMs hold a long poll of 20 s. One that is open when its partition falls silent is never answered. It ended when another call of the VM failed, but none does when only that partition is silent, and all six wait for the same partition.

Change: the VM that reads the list of upstreams polls for 2 s at a time, so that its read fails within 2.6 s and the next one after the partition's return is answered; the others learn the version from it. A long poll that is open when a VM takes over that duty is cancelled. It costs half a call a second for the whole fleet.

TestConfigAfterASilentPartition: in force 19.88 s after the partition's return before, within its 5 s (settle_window_ms and config_ms) now.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -19,9 +19,11 @@
 	// newer configuration.
 	configPollTimeout = 20 * time.Second
 	// configShortPollTimeout replaces configPollTimeout until the store has been stable for
-	// storeStablePeriod. A poll that is open when the store becomes silent is never
-	// answered; it ends when another call of this VM fails, or at the latest after its
-	// timeout and configReadSlack.
+	// storeStablePeriod, and always on the VM that reads the list for all. A poll that is open
+	// when the store becomes silent is never answered; it ends when another call of this VM
+	// fails, or at the latest after its timeout and configReadSlack. If only the partition of
+	// the configuration is silent, no other call fails, and the short polls of one VM notice
+	// when it is back for all.
 	configShortPollTimeout = 2000 * time.Millisecond
 	// configReadSlack is added to the poll timeout to get the timeout of the whole call.
 	configReadSlack = 600 * time.Millisecond
@@ -157,7 +159,7 @@
 	switch {
 	case whole: // answered at once
 		return g.readTopic(ctx, platform.OperatorTopic, next, whole, 0, storeTimeout)
-	case unstable:
+	case unstable || g.storeDuty.Load().ReadsList:
 		wait = configShortPollTimeout
 	}
 	return g.readTopic(ctx, platform.OperatorTopic, next, whole, wait, wait+configReadSlack)
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -33,6 +33,26 @@
 	}
 }
 
+// TestConfigAfterASilentPartition guards against a change that is in force late because only the
+// partition of the configuration was silent: the VM's other calls to the store are answered, so
+// that none of them ends the long poll.
+func TestConfigAfterASilentPartition(t *testing.T) {
+	const bound = 5 * time.Second // settle_window_ms and config_ms of the platform
+	d := deploy(t)
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	d.start()
+	d.eventually("served", func() bool { return d.sendRequest(http.MethodGet, "/look/1", "l", "k", "").status == http.StatusOK })
+	d.store.SetTopicSilent("keyed.op", true)
+	d.store.Put("keyed.op", "config", config(2, 2000, "k2"))
+	time.Sleep(time.Second)
+	d.store.SetTopicSilent("keyed.op", false)
+	back := time.Now()
+	d.eventually("the new key is in force", func() bool { return d.sendRequest(http.MethodGet, "/look/1", "l2", "k2", "").status == http.StatusOK })
+	if took := time.Since(back); took > bound {
+		t.Errorf("the configuration came into force %v after the partition's return", took)
+	}
+}
+
 // TestStartWhileThePartitionOfTheConfigurationIsSilent guards against a VM without memory that
 // still waits for the answer to its first read long after the partition is back.
 func TestStartWhileThePartitionOfTheConfigurationIsSilent(t *testing.T) {
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -148,7 +148,11 @@
 	if d.OtherLeads {
 		c.leaderSeenAt = now
 	}
-	c.g.storeDuty.Store(&d)
+	if before := c.g.storeDuty.Swap(&d); d.ReadsList && !before.ReadsList {
+		if cancelRead := c.g.cancelConfigRead.Load(); cancelRead != nil {
+			(*cancelRead)() // the polls of the VM that reads the list are short
+		}
+	}
 }
 
 // lead takes part in the leader election and gives orders while this VM is the leader.
