Ranges of layers that the model does not have, and unknown kinds of engines, stop no plan

Callers, with one odd entry in the list: the leader's planning panics in each round for as long as the entry stands (index -5 in layout.firstGap), so that no engine gets orders and, after a restart, none has layers; more than 20 panics in 10 s end the process. An entry with a kind of accelerator that the configuration does not list sorts before all others, has memory for no layer, and so leaves its data centre without any plan.

Cause: the planner trusted the entries of other writers.

Change: the planner takes a range outside the model for none and gives no layers to engines of an unknown kind; the chain search leaves such servers out.

--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -189,7 +189,7 @@
 	a.byID = make(map[fleet.UpstreamID]*server, len(list))
 	a.servers = a.servers[:0]
 	for _, s := range list {
-		if s.Layers.End <= s.Layers.First || s.Layers.End > a.engine.Layers {
+		if s.Layers.First < 0 || s.Layers.End <= s.Layers.First || s.Layers.End > a.engine.Layers {
 			continue
 		}
 		entry := old[s.ID]
--- a/pkg/chain/chain_test.go
+++ b/pkg/chain/chain_test.go
@@ -178,3 +178,21 @@
 	is.Equal(failure, chain.NoFailure)
 	is.Equal(c.Crossings, 1)
 }
+
+// TestServersWithForeignRangesAreLeftOut guards against a search that panics because an entry
+// states a range of layers that the model does not have.
+func TestServersWithForeignRangesAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	a := chain.New(e, "a")
+	good := chain.Server{ID: "good", Address: "10.0.0.1:1", DataCentre: "a", Card: catalog.Card{MemoryMB: 300000, StepFactor: 1, PrefillFactor: 1}, Layers: fleet.LayerRange{First: 0, End: e.Layers}, Weight: 1, SlowdownFactor: 1}
+	for _, odd := range []fleet.LayerRange{{First: -5, End: 3}, {First: -9e18, End: 9e18}, {First: 0, End: 4e18}, {First: 90, End: 20}} {
+		foreign := good
+		foreign.ID, foreign.Layers = "odd", odd
+		a.SetServers([]chain.Server{good, foreign})
+		c, failure := a.Reserve(time.Now(), chain.Need{PromptTokens: 100, AnswerTokens: 100}, nil)
+		is.Equal(failure, chain.NoFailure)
+		is.Equal(len(c.Stages), 1)
+		a.Release(c)
+	}
+}
--- a/pkg/layout/layout.go
+++ b/pkg/layout/layout.go
@@ -32,9 +32,22 @@
 	Unavailable bool
 }
 
-// availableEngines returns the engines that may be given layers.
+// availableEngines returns the engines that may be given layers. An engine of a kind that the
+// configuration does not list has no known memory for them.
 func availableEngines(engines []Engine) []Engine {
-	return slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Unavailable })
+	return slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Unavailable || e.Card.MemoryMB <= 0 })
+}
+
+// withinModel returns the engines, without ranges of layers that the model does not have. Entries
+// of other writers may state such ranges.
+func withinModel(e *catalog.Engine, engines []Engine) []Engine {
+	list := slices.Clone(engines)
+	for i := range list {
+		if r := list[i].HeldLayers; r.First < 0 || r.End <= r.First || r.End > e.Layers {
+			list[i].HeldLayers = fleet.LayerRange{}
+		}
+	}
+	return list
 }
 
 // Plan maps engines to layer ranges. Engines without an entry hold no layers.
@@ -89,7 +102,7 @@
 func PlanFromScratch(e *catalog.Engine, engines []Engine) Plan {
 	p := newPlanner(e)
 	plan := Plan{}
-	engines = availableEngines(engines)
+	engines = availableEngines(withinModel(e, engines))
 	for _, dc := range dataCentres(engines) {
 		p.planDataCentre(inDataCentre(engines, dc), plan)
 	}
--- a/pkg/layout/loads.go
+++ b/pkg/layout/loads.go
@@ -15,6 +15,7 @@
 // come before shorter ones. engines are all engines, with the layers that they will hold after
 // the loads in progress.
 func NextLoads(e *catalog.Engine, engines []Engine, plan Plan, wanted []fleet.UpstreamID, n int) []fleet.UpstreamID {
+	engines = withinModel(e, engines)
 	covered := make(map[fleet.DataCentreID][]bool) // layers held or being loaded, without the wanted engines
 	cover := func(dc fleet.DataCentreID, r fleet.LayerRange) {
 		if covered[dc] == nil {
--- a/pkg/layout/repair.go
+++ b/pkg/layout/repair.go
@@ -19,6 +19,7 @@
 func Repair(e *catalog.Engine, engines []Engine, replan func(fleet.DataCentreID) bool) Plan {
 	p := newPlanner(e)
 	plan := Plan{}
+	engines = withinModel(e, engines)
 	for _, x := range engines {
 		if x.HeldLayers.Len() > 0 {
 			plan[x.ID] = x.HeldLayers
@@ -275,5 +276,5 @@
 
 // HoldsAllLayers reports whether the engines of a data centre together hold every layer.
 func HoldsAllLayers(e *catalog.Engine, engines []Engine, dc fleet.DataCentreID) bool {
-	return newPlanner(e).firstGap(inDataCentre(engines, dc)).Len() == 0
+	return newPlanner(e).firstGap(inDataCentre(withinModel(e, engines), dc)).Len() == 0
 }
