A refusal without an id on a kept connection is not taken for the answer

Cause: isAnswer took any failure without a Request-Id for the answer to the request in progress, since a server may fail before it has read the id. That holds only for the first response on a connection that has served no other request.

Change: on any other connection a failure without an id is discarded like an answer to another request, and the answer with the id is awaited. A further send of a request to the same address uses a new connection, as a copy of its own refusal would bear its id. (So far a refused exchange closed its connection because nobody read the body; that was luck, and such a copy on another kept connection was not excluded.)

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -59,8 +59,10 @@
 	// MaxIdlePerAddress bounds the number of idle connections to one address.
 	MaxIdlePerAddress int
 	// IsResponseTo reports whether a response with this status and these headers
-	// belongs to the request.
-	IsResponseTo func(requestID string, status int, h http.Header) bool
+	// belongs to the request. onlyRequest is set if the connection has served no other
+	// request and delivered no other response: only then does a response without an ID
+	// belong to the request for certain.
+	IsResponseTo func(requestID string, onlyRequest bool, status int, h http.Header) bool
 	// AnnouncedIdleTimeout returns the idle timeout that a response announces, 0 if
 	// there is none.
 	AnnouncedIdleTimeout func(h http.Header) time.Duration
@@ -422,7 +424,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if p.cfg.IsResponseTo(r.ID, resp.StatusCode, resp.Header) {
+		if p.cfg.IsResponseTo(r.ID, !c.reused && foreign == 0, resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
 		foreign++
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -56,7 +56,7 @@
 func newPool() *exchange.Pool {
 	return exchange.New(exchange.Config{
 		Dial: exchange.Dialer(time.Second, time.Second, 0), IdleTimeout: time.Minute, MaxIdlePerAddress: 4, Now: time.Now,
-		IsResponseTo:         func(id string, _ int, h http.Header) bool { return h.Get("Id") == id },
+		IsResponseTo:         func(id string, _ bool, _ int, h http.Header) bool { return h.Get("Id") == id },
 		AnnouncedIdleTimeout: func(http.Header) time.Duration { return 0 },
 	})
 }
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/cornelline/cornelline/pkg/catalog"
 	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/handover"
 	"github.com/cornelline/cornelline/pkg/result"
@@ -40,6 +41,8 @@
 	ctx            context.Context
 	// possibleRuns counts the sends to upstreams after which the request may have run.
 	possibleRuns int
+	// sentTo holds the addresses to which the request was sent.
+	sentTo map[string]bool
 	// deliveries counts the sends that a server answered or may have answered, including
 	// refusals.
 	deliveries int
@@ -235,6 +238,20 @@
 // slowBodyRetryAfter is the mean retry delay of a caller whose body did not arrive in time.
 const slowBodyRetryAfter = time.Second
 
+// exchangeRequest returns the request to send to an address. A further send to the same address
+// uses a new connection: on a connection that was kept, the late copy of an earlier refusal would
+// bear the id of this request and be taken for its answer.
+func (c *call) exchangeRequest(address string, head []byte) exchange.Request {
+	repeated := c.sentTo[address]
+	if c.sentTo == nil {
+		c.sentTo = make(map[string]bool, 1)
+	}
+	c.sentTo[address] = true
+	return exchange.Request{
+		Address: address, ID: string(c.caller.ID), Method: c.httpRequest.Method, Head: head, Body: c.body, NewConnection: repeated,
+	}
+}
+
 // timeRemaining returns the time until the answer is due.
 func (c *call) timeRemaining() time.Duration { return time.Until(c.answerDeadline) }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -214,10 +214,11 @@
 }
 
 // isAnswer reports whether a response belongs to a request, that is, echoes its id. A
-// failure that a server sends before it has read the id carries none.
-func isAnswer(id string, status int, h http.Header) bool {
+// failure that a server sends before it has read the id carries none. On a connection that
+// has served other requests, such a failure may be the late copy of an earlier one.
+func isAnswer(id string, onlyRequest bool, status int, h http.Header) bool {
 	reply := platform.ParseReply(status, h)
-	return string(reply.ID) == id || reply.ID == "" && status >= http.StatusBadRequest
+	return string(reply.ID) == id || reply.ID == "" && onlyRequest && status >= http.StatusBadRequest
 }
 
 // Run serves until ctx ends, then drains and stops.
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -331,9 +331,7 @@
 		Team: g.team, Instance: first.Server, TimeLeft: g.timeRemaining(), Chain: platformStages(c), LastEventID: g.splitter.LastID(), Urgency: min(g.rank, leastUrgent),
 	}, len(g.body))
 	g.logSend("", formatStages(c), g.timeRemaining())
-	response, err := g.gateway.pool.Do(ctx, exchange.Request{
-		Address: first.Address, ID: string(g.caller.ID), Method: g.httpRequest.Method, Head: head, Body: g.body,
-	})
+	response, err := g.gateway.pool.Do(ctx, g.exchangeRequest(first.Address, head))
 	if err != nil {
 		return g.classifyRunError(ctx, first.Server, err)
 	}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -237,9 +237,7 @@
 	}
 	head := platform.EncodeRequestHead(c.httpRequest, platform.ForwardHeaders{Team: c.team, Instance: s.id, TimeLeft: remaining, Urgency: -1}, len(c.body))
 	c.logSend(string(s.id), nil, remaining)
-	response, err := c.gateway.pool.Do(ctx, exchange.Request{
-		Address: s.address, ID: string(c.caller.ID), Method: c.httpRequest.Method, Head: head, Body: c.body,
-	})
+	response, err := c.gateway.pool.Do(ctx, c.exchangeRequest(s.address, head))
 	if err != nil {
 		return c.classifySendError(ctx, s.id, err)
 	}
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -20,7 +20,8 @@
 // NewRuns returns a Runs without counts.
 func NewRuns() *Runs { return &Runs{runs: map[string]int{}} }
 
-func (r *Runs) add(id string) {
+// Add counts a run of a request.
+func (r *Runs) Add(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id]++
@@ -139,7 +140,7 @@
 		p.writeRefusal(w)
 		return
 	}
-	p.Runs.add(id)
+	p.Runs.Add(id)
 	w.Header().Set("Response-Signature", p.ID+"."+id)
 	switch fault {
 	case "reset":
@@ -392,7 +393,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	e.Runs.add(id)
+	e.Runs.Add(id)
 	w.Header().Set("Response-Signature", e.ID+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
