What a server writes into a broken stream is checked to be its events

Report of other operators: a stream had begun and broke off, the next server answered with an error, and clients found its text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete. It could happen here.

Cause: an answer with another status was kept out of a stream, but an error in an answer with status 200 was not. The relay forwarded every block of bytes up to an empty line, of any content type, and took the end of the body for the end of the stream, also when the run had sent no event and only its connection had ended.

Change: an answer without the content type of an event stream (if it names one) is invalid; a block that has a line which is no field or comment, or that carries data without a number in a stream whose events are numbered, ends the run as one with an unknown outcome, so that another run continues or the caller's connection is closed; events before it in the same read are passed on (they were counted as passed on, and lost). A run without an event that ends with its connection does not complete a stream.

TestForeignBytesAreNoEvents checks eight forms in the splitter.

The own interface assembles its events itself from frames of the engine protocol.

--- a/pkg/eventstream/eventstream.go
+++ b/pkg/eventstream/eventstream.go
@@ -7,11 +7,16 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"strings"
 )
 
 // ErrTooLarge is returned when an event did not end within MaxEventBytes.
 var ErrTooLarge = errors.New("event of the stream is too large")
 
+// ErrNotAnEvent is returned for bytes that are no event of the stream, such as an error that a
+// server writes into it.
+var ErrNotAnEvent = errors.New("not an event of the stream")
+
 // MaxEventBytes is the largest size of an event that is not whole yet; events on the
 // platform have some hundred bytes. A Splitter buffers at most this size plus the
 // bytes of one Feed.
@@ -46,8 +51,8 @@
 // Feed adds bytes of the stream. It returns the bytes of the events that are whole
 // now and the number of these events. Events that were passed on before, by their
 // numeric ID, are left out. Blocks of comments are returned but not counted, because
-// a chain that sends only comments makes no progress. The result is valid until the
-// next call.
+// a chain that sends only comments makes no progress. With an error, the events before it
+// are returned too. The result is valid until the next call.
 func (s *Splitter) Feed(p []byte) (whole []byte, events int, err error) {
 	s.buffer = append(s.buffer, p...)
 	rest := s.buffer
@@ -58,19 +63,25 @@
 			break
 		}
 		event := rest[:end]
+		number, numbered := eventNumber(event)
+		data := carriesData(event)
+		if !isBlock(event) || data && s.hasLastID && !numbered {
+			s.buffer = s.buffer[:0]
+			return out, events, ErrNotAnEvent
+		}
 		rest = rest[end:]
 		if id, ok := eventID(event); ok {
-			if n, err := strconv.ParseUint(id, 10, 64); err == nil {
-				if s.hasLastID && n <= s.lastNumber {
+			if numbered {
+				if s.hasLastID && number <= s.lastNumber {
 					continue
 				}
-				s.lastNumber = n
+				s.lastNumber = number
 			}
 			s.lastID = id
 			s.hasLastID = true
 		}
 		out = append(out, event...)
-		if carriesData(event) {
+		if data {
 			events++
 		}
 	}
@@ -83,6 +94,35 @@
 	return out, events, nil
 }
 
+// isBlock reports whether all lines of a block are comments or fields of an event stream, whose
+// names are words in lower case. The head of an answer and objects in JSON are not such lines.
+func isBlock(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, _, field := bytes.Cut(line, []byte(":"))
+		if len(line) == 0 || field && len(name) == 0 { // the end or a comment
+			continue
+		}
+		if !field || bytes.ContainsFunc(name, func(r rune) bool { return !strings.ContainsRune(fieldNameRunes, r) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// fieldNameRunes are the characters of field names.
+const fieldNameRunes = "abcdefghijklmnopqrstuvwxyz0123456789-_"
+
+// eventNumber returns the ID of an event if it is a number.
+func eventNumber(event []byte) (uint64, bool) {
+	id, ok := eventID(event)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
+}
+
 // carriesData reports whether a block has a line that is neither empty nor a comment.
 func carriesData(block []byte) bool {
 	for line := range bytes.Lines(block) {
--- a/pkg/eventstream/eventstream_test.go
+++ b/pkg/eventstream/eventstream_test.go
@@ -118,3 +118,25 @@
 		}
 	})
 }
+
+// TestForeignBytesAreNoEvents guards against an error or the head of another answer that is passed
+// on as an event of a stream. The events before it are passed on.
+func TestForeignBytesAreNoEvents(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, foreign := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\n\r\noverloaded\n\n",
+		`{"error":"overloaded"}` + "\n\n", "overloaded\n\n", "error: overloaded\n\n", "data: overloaded\n\n", "Retry-After: 1\nid: 3\ndata: c\n\n",
+		"id: three\ndata: c\n\n", "\x00\x01: x\nid: 3\n\n",
+	} {
+		is := is.New(t)
+		var s eventstream.Splitter
+		whole, n, err := s.Feed([]byte(events + foreign + "id: 3\ndata: c\n\n"))
+		if !errors.Is(err, eventstream.ErrNotAnEvent) {
+			t.Errorf("%q: %v, passed on %q", foreign, err, whole)
+			continue
+		}
+		is.Equal(string(whole), events)
+		is.Equal(n, 2)
+		is.Equal(s.LastID(), "2")
+	}
+}
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -345,7 +346,7 @@
 	if response.Status != http.StatusOK {
 		return g.forwardFailure(first.Server, response, reply)
 	}
-	if !reply.Signed || reply.Encoded {
+	if !reply.Signed || reply.Encoded || !isEventStream(response.Header) {
 		g.gateway.control.recordFailure(first.Server)
 		return outcomeUnknown, errInvalidAnswer
 	}
@@ -354,6 +355,13 @@
 	return g.relay(ctx, r, response)
 }
 
+// isEventStream reports whether the headers of an answer name an event stream, or no type at all.
+func isEventStream(h http.Header) bool {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+}
+
 // errChainRefused means that a server of the chain refused the request.
 var errChainRefused = errors.New("chain refused the request")
 
@@ -448,10 +456,6 @@
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			complete, events, parseErr := g.splitter.Feed(buffer[:n])
-			if parseErr != nil {
-				g.gateway.control.recordFailure(r.chain.Stages[0].Server)
-				return outcomeUnknown, parseErr
-			}
 			if events > 0 {
 				now := time.Now()
 				if r.recordEvents(now, events) {
@@ -462,6 +466,10 @@
 			} else if g.headerSent && len(complete) > 0 { // only stream comments, no event
 				g.writeAndFlush(complete)
 			}
+			if parseErr != nil {
+				g.gateway.control.recordFailure(r.chain.Stages[0].Server)
+				return outcomeUnknown, parseErr
+			}
 		}
 		if err == nil {
 			continue
@@ -469,7 +477,10 @@
 		if err != io.EOF {
 			return g.classifyRelayError(ctx, r, err)
 		}
-		if g.splitter.HasPartial() || !g.headerSent {
+		// The end of the connection alone does not show that a run which sent no event had
+		// nothing more to send.
+		endsEarly := r.events.Load() == 0 && !response.Framed
+		if g.splitter.HasPartial() || !g.headerSent || endsEarly {
 			g.gateway.control.recordFailure(r.chain.Stages[0].Server)
 			return outcomeUnknown, io.ErrUnexpectedEOF
 		}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -274,7 +274,7 @@
 	// errServerFailed means that the upstream answered with an error status, after which
 	// another run may be tried.
 	errServerFailed  = errors.New("upstream answered with an error")
-	errInvalidAnswer = errors.New("answer is unsigned or has a content encoding")
+	errInvalidAnswer = errors.New("answer is unsigned, has a content encoding or is no event stream")
 )
 
 // canRetryElsewhere reports whether the request may run on one more server.
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -207,6 +207,14 @@
 	failing bool
 	// shedding refuses each generation.
 	shedding bool
+	// resumeFault answers requests that continue a stream with an error:
+	//   - "": normally
+	//   - "status": status 500 with a text
+	//   - "json": status 200, signed, with a JSON object
+	//   - "head": an event stream that holds the head and body of another answer
+	//   - "text": an event stream that holds a line of text
+	//   - "end": an event stream without an event, ended by the connection
+	resumeFault string
 	// OnRequest is called with the path of each request that reaches the engine, and with
 	// "part" for each part of a chain; it may be nil.
 	OnRequest func(path string)
@@ -220,6 +228,45 @@
 	e.shedding = shedding
 }
 
+// SetResumeFault sets how requests that continue a stream are answered; see
+// Engine.resumeFault for the values.
+func (e *Engine) SetResumeFault(fault string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resumeFault = fault
+}
+
+// writeResumeFault answers with an error if a fault is set, and reports whether it did.
+func (e *Engine) writeResumeFault(w http.ResponseWriter) bool {
+	e.mu.Lock()
+	fault := e.resumeFault
+	e.mu.Unlock()
+	const text = "engine overloaded"
+	switch fault {
+	case "status":
+		http.Error(w, text+"\n", http.StatusInternalServerError)
+	case "json":
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"error":"`+text+"\"}\n\n")
+	case "head":
+		_, _ = io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\n\r\n"+text+"\n\n")
+	case "text":
+		_, _ = io.WriteString(w, "error: "+text+"\n\n")
+	case "end":
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return true
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n")
+		_ = w.Header().Write(conn) // fails if the caller has disconnected
+		_, _ = io.WriteString(conn, "\r\n")
+	default:
+		return false
+	}
+	return true
+}
+
 // notifyRequest calls OnRequest if it is set.
 func (e *Engine) notifyRequest(path string) {
 	if e.OnRequest != nil {
@@ -396,6 +443,9 @@
 	e.Runs.Add(id)
 	w.Header().Set("Response-Signature", e.ID+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.Header.Get("Last-Event-Id") != "" && e.writeResumeFault(w) {
+		return
+	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.mu.Lock()
 	breakAfter, failing := e.breakAfter, e.failing
