VMs without memory start from copies while the platform's partitions are away

Cause: single point of failure. What a VM needs to serve is kept in two records, each in the one partition of its topic, and nothing that outlives the VMs holds it a second time.

Change: the VM that reads the list for all writes both, compressed, into three partitions of a topic of its own, spread over the partitions and never in the first: at once for a new version, at most each 2 s for a change of the list. A VM that lacks the configuration or the list, and that the store does not answer for it (a failed call; for seeds 0.5 s and for others 2 s after the start), takes the newest copy that it can read. The platform's records and other VMs' versions replace it as before; upstreams that only the copy lists are removed with the first complete list. pkg/bootstrap decides, without I/O.

TestStartWhileThePlatformsPartitionsAreAway fails with startFromCopy disabled (nothing served within 30 s, down and silent) and passes now. pkg/bootstrap has tests of the encoding, the choice, the spread of the partitions and the times of writes.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -55,6 +55,8 @@
 	StoreRestored    ID = 411
 	StoreAnswerLate  ID = 412
 	ConfigNotFetched ID = 413
+	StartedFromCopy  ID = 414
+	CopyNotWritten   ID = 415
 )
 
 // Placement events.
@@ -108,6 +110,8 @@
 	TaskPanicked:     {"task_panicked", zerolog.ErrorLevel},
 	ControlLate:      {"control_late", zerolog.WarnLevel},
 	ConfigInForce:    {"config_in_force", zerolog.InfoLevel},
+	StartedFromCopy:  {"started_from_copy", zerolog.WarnLevel},
+	CopyNotWritten:   {"copy_not_written", zerolog.WarnLevel},
 	ConfigRejected:   {"config_rejected", zerolog.ErrorLevel},
 	ConfigNotFetched: {"config_not_fetched", zerolog.WarnLevel},
 	EntryRejected:    {"upstream_entry_rejected", zerolog.WarnLevel},
--- a/pkg/gateway/configuration.go
+++ b/pkg/gateway/configuration.go
@@ -139,6 +139,10 @@
 	c.catalog, c.configRecord, c.pendingConfig, c.dirty = r.catalog, r, nil, true
 	c.nearStateTimer.SendNow()
 	c.farStateTimer.SendNow()
+	select {
+	case c.g.copiesDue <- struct{}{}:
+	default: // a check is due already
+	}
 	c.g.log.Log(event.ConfigInForce).Uint64("version", r.catalog.Version).Str("source", source).Int("bytes", r.receivedBytes).
 		Int64("fetch_ms", r.fetchTime.Milliseconds()).Send()
 	c.publish(now)
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -64,7 +64,8 @@
 	fetchingConfig bool // a fetch from another VM is in progress
 	gates          map[catalog.ServiceID]*gate
 
-	listKnown      bool // the list of upstreams has been read once
+	listKnown      bool // the list of upstreams has been read once, or a copy of it
+	listFromCopy   bool // the list comes from a copy
 	listUpdatedAt  time.Time
 	storeUp        bool
 	storeDownSince time.Time // start of the last outage
@@ -86,6 +87,11 @@
 	// initialStateAnnounced is set once the requests held at the start have been released.
 	initialStateAnnounced bool
 
+	// listRevision counts the changes of the list.
+	listRevision uint64
+	// listOffset is the offset of the upstreams' topic up to which the list was read.
+	listOffset uint64
+
 	dirty    bool   // a new view must be published
 	sequence uint64 // of the state messages to the other VMs
 	// sentVersion identifies the last state sent to the VMs of the own data centre.
@@ -227,6 +233,7 @@
 func (c *control) applyRosterChanges(now time.Time, changes []roster.Change) {
 	for _, change := range changes {
 		c.dirty = true
+		c.listRevision++
 		u := change.Upstream
 		c.g.log.Log(event.UpstreamChanged).Str("upstream", string(u.ID)).Str("service", string(u.Service)).
 			Str("address", u.Address).Str("reason", change.Reason.String()).Stringer("layers", u.Layers).Send()
--- /dev/null
+++ b/pkg/gateway/copies.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cornelline/cornelline/pkg/bootstrap"
+	"github.com/cornelline/cornelline/pkg/event"
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/roster"
+	"github.com/cornelline/cornelline/pkg/storeera"
+	"github.com/cornelline/cornelline/platform"
+)
+
+const (
+	// copyCheckInterval is the interval at which a VM checks whether the copies are to be
+	// written. A new configuration leads to a check at once.
+	copyCheckInterval = 500 * time.Millisecond
+	// copyReadAfterSeed and copyReadAfter are the ages at which a seed and another VM that lack
+	// the configuration or the list read the copies, also if no call to the store has failed
+	// yet: one to a silent partition takes longer. Seeds read the store at once, and the others
+	// learn from them.
+	copyReadAfterSeed = 500 * time.Millisecond
+	copyReadAfter     = 2 * time.Second
+	// copyReadInterval is the least time between two reads of the copies by a VM.
+	copyReadInterval = 500 * time.Millisecond
+	// copyGatherTime is how long a read waits for further copies after the first one.
+	copyGatherTime = 200 * time.Millisecond
+)
+
+// followCopies starts from a copy if this VM needs one, and keeps the copies up to date while this
+// VM reads the list for all, until ctx ends.
+func (g *Gateway) followCopies(ctx context.Context) {
+	partitions := bootstrap.Partitions(g.settings.Store.Partitions)
+	schedule := bootstrap.NewSchedule(partitions)
+	wasDuty := false
+	ticker := time.NewTicker(copyCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-g.copiesDue:
+		case <-ctx.Done():
+			return
+		}
+		duty := g.storeDuty.Load().ReadsList
+		if duty && !wasDuty { // another VM may have written since
+			schedule = bootstrap.NewSchedule(partitions)
+		}
+		wasDuty = duty
+		switch {
+		case g.lacksState():
+			if age := time.Since(g.started); age > copyReadAfter || g.settings.IsSeed && age > copyReadAfterSeed {
+				g.startFromCopy(ctx)
+			}
+		case duty:
+			g.writeDueCopies(ctx, schedule)
+		}
+	}
+}
+
+// copyState is what the control goroutine knows for a copy.
+type copyState struct {
+	version  storeera.Version
+	revision uint64
+	copy     bootstrap.Copy
+	// usable is set if the configuration is known, and a list that does not come from a copy.
+	usable bool
+}
+
+// writeDueCopies writes the copies that are due.
+func (g *Gateway) writeDueCopies(ctx context.Context, schedule *bootstrap.Schedule) {
+	state, ok := g.copyState(ctx, false)
+	if !ok || !state.usable || len(schedule.Due(time.Now(), state.version, state.revision)) == 0 {
+		return
+	}
+	if state, ok = g.copyState(ctx, true); !ok || !state.usable {
+		return
+	}
+	record, err := bootstrap.Encode(state.copy)
+	for _, partition := range schedule.Due(time.Now(), state.version, state.revision) {
+		err := err
+		if err == nil {
+			err = g.writeCopy(ctx, partition, record)
+		}
+		schedule.Record(time.Now(), partition, state.version, state.revision, err)
+		if err != nil {
+			g.stats.Count("copies_not_written")
+			g.log.Log(event.CopyNotWritten).Int("partition", partition).Err(err).Send()
+			continue
+		}
+		g.stats.Count("copies_written")
+	}
+}
+
+func (g *Gateway) writeCopy(ctx context.Context, partition int, record []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return g.store.Append(ctx, platform.CopyTopic, partition, platform.CopyKey, record)
+}
+
+// copyState asks the control goroutine for the state of a copy, with its content if whole is set.
+func (g *Gateway) copyState(ctx context.Context, whole bool) (copyState, bool) {
+	answer := make(chan copyState, 1)
+	g.control.post(func(time.Time) {
+		c := g.control
+		s := copyState{version: c.configuration.InForce(), revision: c.listRevision, usable: c.configRecord != nil && c.listKnown && !c.listFromCopy}
+		if whole && s.usable {
+			s.copy = bootstrap.Copy{Config: c.configRecord.data, Version: s.version, Upstreams: c.roster.List(), ListOffset: c.listOffset, Era: g.eras.era()}
+		}
+		answer <- s
+	})
+	select {
+	case s := <-answer:
+		return s, true
+	case <-ctx.Done():
+		return copyState{}, false
+	}
+}
+
+// copyReads limits the reads of the copies. It is safe for concurrent use.
+type copyReads struct {
+	mu   sync.Mutex
+	last time.Time
+}
+
+func (r *copyReads) begin(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.last.IsZero() && now.Sub(r.last) < copyReadInterval {
+		return false
+	}
+	r.last = now
+	return true
+}
+
+// lacksState reports whether this VM has no configuration or no list of upstreams.
+func (g *Gateway) lacksState() bool {
+	v := g.view.Load()
+	return v.catalog == nil || !v.listKnown
+}
+
+// startFromCopy reads the copies if this VM has no configuration or no list, and uses the newest
+// one for what it lacks. It is called when the store does not answer for one of them.
+func (g *Gateway) startFromCopy(ctx context.Context) {
+	if !g.lacksState() || !g.copyReads.begin(time.Now()) {
+		return
+	}
+	copies := g.readCopies(ctx)
+	c, ok := bootstrap.Newest(copies)
+	if !ok {
+		return
+	}
+	record := g.control.decodeConfig(c.Config, "copy")
+	g.control.post(func(now time.Time) { g.control.adoptCopy(now, c, record, len(copies)) })
+}
+
+// readCopies returns the copies that can be read soon after the first one.
+func (g *Gateway) readCopies(ctx context.Context) []bootstrap.Copy {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	partitions := bootstrap.Partitions(g.settings.Store.Partitions)
+	results := make(chan *bootstrap.Copy, len(partitions))
+	for _, partition := range partitions {
+		g.spawn("copy", func() {
+			var found *bootstrap.Copy
+			defer func() { results <- found }()
+			page, err := g.store.NewestOf(ctx, platform.CopyTopic, partition)
+			if err != nil {
+				g.stats.Count("copies_not_read")
+				return
+			}
+			for _, r := range page.Records {
+				if c, err := bootstrap.Decode(r.Value); r.Key == platform.CopyKey && err == nil {
+					found = &c
+				}
+			}
+		})
+	}
+	var copies []bootstrap.Copy
+	var gathered <-chan time.Time
+	for range partitions {
+		select {
+		case c := <-results:
+			if c == nil {
+				continue
+			}
+			copies = append(copies, *c)
+			if gathered == nil {
+				gathered = time.After(copyGatherTime)
+			}
+		case <-gathered:
+			return copies
+		}
+	}
+	return copies
+}
+
+// adoptCopy uses a copy for what this VM does not know yet.
+func (c *control) adoptCopy(now time.Time, copied bootstrap.Copy, record *configRecord, copies int) {
+	takeConfig, takeList := c.catalog == nil && record != nil, !c.listKnown
+	if !takeConfig && !takeList {
+		return
+	}
+	c.g.log.Log(event.StartedFromCopy).Uint64("version", copied.Version.Number).Int("upstreams", len(copied.Upstreams)).
+		Int("copies", copies).Bool("config", takeConfig).Bool("list", takeList).Send()
+	if takeList {
+		c.listKnown, c.listFromCopy, c.dirty = true, true, true
+		c.applyRosterChanges(now, c.roster.ApplyListing(now, roster.Listing{Changed: copied.Upstreams}, nil))
+	}
+	if takeConfig && c.configuration.ObservePeerVersion(copied.Version, c.g.eras.era()) {
+		c.activateConfig(now, record, "copy")
+	}
+}
+
+// unlisted returns the upstreams of the roster that are not in a complete list.
+func (c *control) unlisted(list []roster.Upstream) []fleet.UpstreamID {
+	var missing []fleet.UpstreamID
+	for _, u := range c.roster.List() {
+		if !slices.ContainsFunc(list, func(l roster.Upstream) bool { return l.ID == u.ID }) {
+			missing = append(missing, u.ID)
+		}
+	}
+	return missing
+}
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -108,6 +108,7 @@
 		}
 		if err != nil {
 			failures++
+			g.startFromCopy(ctx)
 			g.backOffRead(ctx, platform.OperatorTopic, failures, err)
 			continue
 		}
@@ -251,6 +252,7 @@
 	switch {
 	case err != nil:
 		f.failures++
+		f.g.startFromCopy(ctx)
 		f.g.backOffRead(ctx, platform.UpstreamTopic, f.failures, err)
 		f.readTimer.Reset(0)
 	case again:
@@ -292,6 +294,7 @@
 		follower.SetEra(page.Era)
 	}
 	l := follower.ApplyRecords(g.decodeRecords(page), page.End, whole)
+	l.Whole = whole && !wasInitialized
 	var toPeers *roster.Listing // nil if the other VMs have nothing to apply it to
 	switch {
 	case l.AfterRestore:
@@ -342,6 +345,11 @@
 		if !c.listKnown {
 			c.listKnown, c.dirty = true, true
 		}
+		c.listOffset = l.To
+		if c.listFromCopy && l.Whole {
+			c.listFromCopy = false
+			l.Removed = append(l.Removed, c.unlisted(l.Changed)...)
+		}
 		c.applyRosterChanges(now, c.roster.ApplyListing(now, l, nil))
 		for id := range c.reportedLayers { // every entry is as recent as the listing
 			c.expireLayerReport(now, id)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -115,6 +115,10 @@
 	refusedGenerations *refusedSet
 
 	configOffers configOffers
+	// copyReads limits the reads of copies.
+	copyReads copyReads
+	// copiesDue is signalled when the copies may have to be written.
+	copiesDue    chan struct{}
 	retryBudgets *retryBudgets
 	notices      *notices
 	eras         eraTracker
@@ -133,7 +137,7 @@
 		settings: settings, log: log, output: output, stats: stats.New(), started: time.Now(),
 		store: platform.NewStore(settings.Store.Address, exchange.Dialer(connectTimeout, unacknowledgedTimeout, storeKeepAlive)), servers: platform.NewServerClient(dial),
 		shutdown: newShutdown(), activeRuns: newRunSet(), crashes: newCrashHistory(), refusedGenerations: newRefusedSet(), initialStateKnown: make(chan struct{}), retryBudgets: newBudgets(), notices: newNotices(),
-		listings: make(chan roster.Listing, listingQueueSize), snapshots: make(chan chan<- roster.Listing),
+		listings: make(chan roster.Listing, listingQueueSize), snapshots: make(chan chan<- roster.Listing), copiesDue: make(chan struct{}, 1),
 	}
 	g.pool = exchange.New(exchange.Config{
 		Dial: dial, IdleTimeout: upstreamIdleTimeout, MaxIdlePerAddress: maxIdlePerUpstream, Now: time.Now,
@@ -241,6 +245,7 @@
 	g.supervise(g.runCtx, "configuration", g.followConfig)
 	g.supervise(g.runCtx, "upstreams", g.followUpstreams)
 	g.supervise(g.runCtx, "lead", g.lead)
+	g.supervise(g.runCtx, "copies", g.followCopies)
 	var err error
 	select {
 	case <-ctx.Done():
--- a/pkg/standin/userplatform/store.go
+++ b/pkg/standin/userplatform/store.go
@@ -172,6 +172,17 @@
 	return s.reads[name]
 }
 
+// Records returns the number of records appended to a topic, or to a partition other than 0 of
+// it, as NAME/PARTITION.
+func (s *Store) Records(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.topics[name]; t != nil {
+		return len(t.records)
+	}
+	return 0
+}
+
 // Put appends a record, as the operator or a server does; a nil value removes the key.
 func (s *Store) Put(name, key string, value []byte) {
 	s.mu.Lock()
