While a fleet forms, its seeds are the candidates for the lead

Cause: of VMs that form a fleet only seeds join the leader's group, and only if fewer than four VMs that they know precede them in the order. All VMs contact the seeds first, so that a seed knows such VMs within a second; as these are forming too, nobody joins. When no VM has led for 1.5 s and the first 3 s are over, several VMs that do not know each other yet lead as deputies, and each orders all engines.

Change: while it forms, a seed is a candidate whoever precedes it.

TestSeedsLeadAFleetThatForms: none of the three seeds was a candidate from 13 VMs on; now all.

Open: a VM knows half of 118 members after 3 s and most after 12 s, so that the group still moves the lead and deputies appear after the first 3 s.

--- a/pkg/storewatch/formation_test.go
+++ b/pkg/storewatch/formation_test.go
@@ -54,6 +54,40 @@
 	return members, deputies
 }
 
+// TestSeedsLeadAFleetThatForms guards against a start without any member in the group: all VMs
+// contact the seeds first, so that the seeds soon know VMs that precede them, and these do not join
+// yet. When nobody had led for LeaderTimeout, several VMs led as deputies, each ordered all engines,
+// and a quiet day of 118 VMs began without complete chains.
+func TestSeedsLeadAFleetThatForms(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	for _, n := range []int{4, 13, 118} {
+		for at := time.Duration(0); at < storewatch.FormationTime; at += tick {
+			now := start.Add(at)
+			members := 0
+			for i := range n {
+				isSeed := i < 3
+				var peers []storewatch.Peer
+				for j := range n {
+					if j != i && (isSeed || j < 3) {
+						peers = append(peers, storewatch.Peer{ID: fleet.VMID(fmt.Sprint("front-", j)), ReceivedAt: now, StoreReached: true})
+					}
+				}
+				self := storewatch.Self{ID: fleet.VMID(fmt.Sprint("front-", i)), Forming: true, IsSeed: isSeed, LeaderLastSeen: start, LiveVMs: len(peers) + 1}
+				d := storewatch.Assign(now, self, peers)
+				if d.Candidate && !isSeed {
+					t.Fatalf("%d VMs, after %v: VM %d is a candidate", n, at, i)
+				}
+				if d.Candidate {
+					members++
+				}
+			}
+			if members != 3 {
+				t.Fatalf("%d VMs, after %v: %d of 3 seeds are candidates", n, at, members)
+			}
+		}
+	}
+}
+
 // TestFleetThatStartsAtOnceHasOneLeader guards against VMs that lead, or join the group of
 // candidates, because they do not know yet who precedes them. After a loss of power in a fleet of
 // 118 VMs all of them joined the group, whose lead then moved for seconds, and 13 led as
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -108,8 +108,8 @@
 	// retries it.
 	WatchesConfig bool
 	// Candidate is set if the VM stays in the group from which the leader is chosen. Of the VMs
-	// that are still forming a fleet, only seeds are: each member that joins moves the partitions
-	// of the group, and with it the lead.
+	// that are still forming a fleet, the seeds are, and only they: each member that joins moves
+	// the partitions of the group, and with it the lead.
 	Candidate bool
 	// AmongFirstWatchers is set if the VM is one of the first Watchers VMs in the order,
 	// whether or not the store answers it.
@@ -164,7 +164,11 @@
 		}
 	}
 	d.ReadsList = !self.StoreUnavailable && !self.Stopping && precedingReachable == 0
-	d.Candidate = precedingReachable < Candidates && (!self.Forming || self.IsSeed)
+	if self.Forming { // the VMs that precede a seed are forming as well and do not join
+		d.Candidate = self.IsSeed
+	} else {
+		d.Candidate = precedingReachable < Candidates
+	}
 	d.AmongFirstWatchers = preceding < Watchers
 	d.WatchesConfig = precedingReachable < Watchers || !peerWatches
 	d.LeavesRetriesToOthers = peerWatches && !storeReached && !d.AmongFirstWatchers
