Copies are written side by side, and a first read has the time of a short poll

Found when reading the diff: a silent partition delayed the other two copies by the time-out of a call; a check whose event the control goroutine dropped would have waited for ever; after a restore of the store from an older copy the copies were not written again until the next change.

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -35,7 +36,7 @@
 func (g *Gateway) followCopies(ctx context.Context) {
 	partitions := bootstrap.Partitions(g.settings.Store.Partitions)
 	schedule := bootstrap.NewSchedule(partitions)
-	wasDuty := false
+	wasDuty, restoreCount := false, g.eras.restoreCount()
 	ticker := time.NewTicker(copyCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -45,11 +46,11 @@
 		case <-ctx.Done():
 			return
 		}
-		duty := g.storeDuty.Load().ReadsList
-		if duty && !wasDuty { // another VM may have written since
+		duty, restores := g.storeDuty.Load().ReadsList, g.eras.restoreCount()
+		if duty && !wasDuty || restores != restoreCount { // the store may hold other copies now
 			schedule = bootstrap.NewSchedule(partitions)
 		}
-		wasDuty = duty
+		wasDuty, restoreCount = duty, restores
 		switch {
 		case g.lacksState():
 			if age := time.Since(g.started); age > copyReadAfter || g.settings.IsSeed && age > copyReadAfterSeed {
@@ -80,21 +81,38 @@
 		return
 	}
 	record, err := bootstrap.Encode(state.copy)
-	for _, partition := range schedule.Due(time.Now(), state.version, state.revision) {
-		err := err
-		if err == nil {
-			err = g.writeCopy(ctx, partition, record)
-		}
-		schedule.Record(time.Now(), partition, state.version, state.revision, err)
-		if err != nil {
+	due := schedule.Due(time.Now(), state.version, state.revision)
+	results := make(chan copyResult, len(due))
+	for _, partition := range due { // one that is silent must not delay the others
+		g.spawn("copy", func() {
+			r := copyResult{partition: partition, err: errCopyNotWritten}
+			defer func() { results <- r }()
+			if r.err = err; err == nil {
+				r.err = g.writeCopy(ctx, partition, record)
+			}
+		})
+	}
+	for range due {
+		r := <-results
+		schedule.Record(time.Now(), r.partition, state.version, state.revision, r.err)
+		if r.err != nil {
 			g.stats.Count("copies_not_written")
-			g.log.Log(event.CopyNotWritten).Int("partition", partition).Err(err).Send()
+			g.log.Log(event.CopyNotWritten).Int("partition", r.partition).Err(r.err).Send()
 			continue
 		}
 		g.stats.Count("copies_written")
 	}
 }
 
+// copyResult is the result of writing one copy.
+type copyResult struct {
+	partition int
+	err       error
+}
+
+// errCopyNotWritten is the result of a write that a panic ended.
+var errCopyNotWritten = errors.New("copy was not written")
+
 func (g *Gateway) writeCopy(ctx context.Context, partition int, record []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -115,9 +133,10 @@
 	select {
 	case s := <-answer:
 		return s, true
+	case <-time.After(fetchTimeout): // the control goroutine dropped the event
 	case <-ctx.Done():
-		return copyState{}, false
 	}
+	return copyState{}, false
 }
 
 // copyReads limits the reads of the copies. It is safe for concurrent use.
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -158,8 +158,8 @@
 	wait := configPollTimeout
 	unstable := time.Since(g.started)-time.Duration(g.storeFailedAt.Load()) < storeStablePeriod
 	switch {
-	case whole: // answered at once
-		return g.readTopic(ctx, platform.OperatorTopic, next, whole, 0, storeTimeout)
+	case whole: // answered at once, but larger than other answers
+		wait = configShortPollTimeout
 	case unstable || g.storeDuty.Load().ReadsList:
 		wait = configShortPollTimeout
 	}
