Copies for VMs without memory cost fewer calls to the store

Change: two copies; further versions at most each second, changes of the list each 10 s; a VM that takes over the duty takes the present version for written.

TestCopiesCostFewCalls bounds the writes of a minute: by the list, by the versions of a storm, and by VMs that take turns; it needs the new schedule. TestCopiesAreWrittenInTime and TestStartWhileThePlatformsPartitionsAreAway follow the new times and partitions: the first write after a change of the version is still at once.

--- a/pkg/bootstrap/bootstrap.go
+++ b/pkg/bootstrap/bootstrap.go
@@ -26,7 +26,7 @@
 )
 
 // Copies is the number of copies, each in a partition of its own.
-const Copies = 3
+const Copies = 2
 
 // Partitions returns the partitions that hold the copies, spread over those of a topic. Partition 0
 // is not among them if there is another one: the platform's own records are in partition 0.
@@ -138,12 +138,15 @@
 }
 
 const (
-	// ListInterval is the least time between two writes of a copy for a change of the list alone.
-	// A version of the configuration is written at once: a key that it withdraws must not be valid
+	// VersionInterval is the least time between two writes of a copy for new versions of the
+	// configuration. The first one is written at once: a key that it withdraws must not be valid
 	// again after a loss of all VMs.
-	ListInterval = 2 * time.Second
+	VersionInterval = time.Second
+	// ListInterval is the least time between two writes of a copy for a change of the list alone.
+	// An older list serves as well: a server that has left refuses requests for another one.
+	ListInterval = 10 * time.Second
 	// RetryInterval is the time after which a failed write is repeated.
-	RetryInterval = time.Second
+	RetryInterval = 2 * time.Second
 )
 
 // Schedule decides when the copies are written. It is not safe for concurrent use.
@@ -151,19 +154,23 @@
 
 // partition is the state of one copy.
 type partition struct {
-	number    int
-	version   storeera.Version
-	list      uint64 // fingerprint of the list
-	written   bool
-	nextWrite time.Time // for a change of the list, or after a failure
-	failed    bool
+	number  int
+	version storeera.Version
+	list    uint64 // fingerprint of the list
+	// writtenAt is when the copy was last written, or when the schedule began.
+	writtenAt time.Time
+	// complete is set once the copy was written by this schedule.
+	complete bool
+	retryAt  time.Time // after a failure
 }
 
-// NewSchedule returns a schedule for copies in the given partitions.
-func NewSchedule(partitions []int) *Schedule {
+// NewSchedule returns a schedule for copies in the given partitions. The VM that wrote them before
+// is taken to have written the present version, so that VMs which take turns at it do not all write:
+// a copy is due when the version changes, and after ListInterval in any case.
+func NewSchedule(now time.Time, version storeera.Version, partitions []int) *Schedule {
 	s := &Schedule{}
 	for _, p := range partitions {
-		s.partitions = append(s.partitions, partition{number: p})
+		s.partitions = append(s.partitions, partition{number: p, version: version, writtenAt: now})
 	}
 	return s
 }
@@ -173,11 +180,10 @@
 func (s *Schedule) Due(now time.Time, version storeera.Version, list uint64) []int {
 	var due []int
 	for _, p := range s.partitions {
-		newVersion := !p.written || p.version != version
-		switch {
-		case !newVersion && p.list == list:
-		case now.Before(p.nextWrite) && (!newVersion || p.failed):
-		default:
+		age := now.Sub(p.writtenAt)
+		newVersion := p.version != version && (!p.complete || age >= VersionInterval)
+		newList := (!p.complete || p.list != list) && age >= ListInterval
+		if (newVersion || newList) && !now.Before(p.retryAt) {
 			due = append(due, p.number)
 		}
 	}
@@ -188,13 +194,12 @@
 func (s *Schedule) Record(now time.Time, number int, version storeera.Version, list uint64, err error) {
 	for i := range s.partitions {
 		p := &s.partitions[i]
-		if p.number != number {
-			continue
-		}
-		if p.failed = err != nil; p.failed {
-			p.nextWrite = now.Add(RetryInterval)
-			return
+		switch {
+		case p.number != number:
+		case err != nil:
+			p.retryAt = now.Add(RetryInterval)
+		default:
+			p.version, p.list, p.writtenAt, p.complete = version, list, now, true
 		}
-		p.version, p.list, p.written, p.nextWrite = version, list, true, now.Add(ListInterval)
 	}
 }
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -35,7 +35,7 @@
 // VM reads the list for all, until ctx ends.
 func (g *Gateway) followCopies(ctx context.Context) {
 	partitions := bootstrap.Partitions(g.settings.Store.Partitions)
-	schedule := bootstrap.NewSchedule(partitions)
+	var schedule *bootstrap.Schedule // while this VM writes the copies
 	wasDuty, restoreCount := false, g.eras.restoreCount()
 	ticker := time.NewTicker(copyCheckInterval)
 	defer ticker.Stop()
@@ -47,8 +47,8 @@
 			return
 		}
 		duty, restores := g.storeDuty.Load().ReadsList, g.eras.restoreCount()
-		if duty && !wasDuty || restores != restoreCount { // the store may hold other copies now
-			schedule = bootstrap.NewSchedule(partitions)
+		if !duty || !wasDuty || restores != restoreCount { // the store may hold other copies now
+			schedule = nil
 		}
 		wasDuty, restoreCount = duty, restores
 		switch {
@@ -57,7 +57,7 @@
 				g.startFromCopy(ctx)
 			}
 		case duty:
-			g.writeDueCopies(ctx, schedule)
+			schedule = g.writeDueCopies(ctx, schedule, partitions)
 		}
 	}
 }
@@ -71,14 +71,21 @@
 	usable bool
 }
 
-// writeDueCopies writes the copies that are due.
-func (g *Gateway) writeDueCopies(ctx context.Context, schedule *bootstrap.Schedule) {
+// writeDueCopies writes the copies that are due by a schedule, or begins one if there is none. It
+// returns the schedule.
+func (g *Gateway) writeDueCopies(ctx context.Context, schedule *bootstrap.Schedule, partitions []int) *bootstrap.Schedule {
 	state, ok := g.copyState(ctx, false)
-	if !ok || !state.usable || len(schedule.Due(time.Now(), state.version, state.revision)) == 0 {
-		return
+	if !ok || !state.usable {
+		return schedule
+	}
+	if schedule == nil {
+		schedule = bootstrap.NewSchedule(time.Now(), state.version, partitions)
+	}
+	if len(schedule.Due(time.Now(), state.version, state.revision)) == 0 {
+		return schedule
 	}
 	if state, ok = g.copyState(ctx, true); !ok || !state.usable {
-		return
+		return schedule
 	}
 	record, err := bootstrap.Encode(state.copy)
 	due := schedule.Due(time.Now(), state.version, state.revision)
@@ -102,6 +109,7 @@
 		}
 		g.stats.Count("copies_written")
 	}
+	return schedule
 }
 
 // copyResult is the result of writing one copy.
