Log what a broken run carried, and whether its answer had begun

A request that crashes engines could not be told from its neighbours in the logs: the line request_suspected names a request, but not its prompt parts, and a stream without length or chunks that ended before its first event left no line at all. Event 212 run_broken names the upstream, the shared parts and whether the answer had begun, for each run that an upstream ended. No decision has changed.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -31,6 +31,7 @@
 	ChainRefused     ID = 209
 	StreamBroken     ID = 210
 	RequestSuspected ID = 211
+	RunBroken        ID = 212
 )
 
 // Pipeline events.
@@ -103,6 +104,7 @@
 	ChainRefused:     {"chain_refused", zerolog.InfoLevel},
 	StreamBroken:     {"stream_broken", zerolog.WarnLevel},
 	RequestSuspected: {"request_suspected", zerolog.WarnLevel},
+	RunBroken:        {"run_broken", zerolog.InfoLevel},
 
 	LinesDropped:     {"lines_dropped", zerolog.WarnLevel},
 	Reloaded:         {"settings_reloaded", zerolog.InfoLevel},
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -106,3 +106,14 @@
 	}
 	c.gateway.broadcast(&peering.Crash{Request: uint64(f), Upstream: up}) // a lost message delays the refusal by one crash
 }
+
+// maxLoggedParts bounds the prompt parts that a log line names.
+const maxLoggedParts = 8
+
+// logBroken logs that an upstream ended a run without a complete answer. began is set if it had
+// begun its answer.
+func (c *call) logBroken(up fleet.UpstreamID, began bool, events int64) {
+	parts := c.caller.SharedParts()
+	c.logLine(event.RunBroken).Str("upstream", string(up)).Bool("began", began).Int64("events", events).
+		Int("shared_parts", len(parts)).Strs("parts", parts[:min(len(parts), maxLoggedParts)]).Send()
+}
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -482,6 +482,7 @@
 		endsEarly := r.events.Load() == 0 && !response.Framed
 		if g.splitter.HasPartial() || !g.headerSent || endsEarly {
 			g.gateway.control.recordFailure(r.chain.Stages[0].Server)
+			g.logBroken(r.chain.Stages[0].Server, true, r.events.Load())
 			return outcomeUnknown, io.ErrUnexpectedEOF
 		}
 		g.gateway.stats.LongestGap(g.rank, g.longestGap)
@@ -529,6 +530,7 @@
 	if ctx.Err() != nil {
 		return outcomeUnknown, context.Cause(ctx)
 	}
+	g.logBroken(r.chain.Stages[0].Server, true, r.events.Load())
 	g.reportCrash(r.chain.Stages[0].Server)
 	for _, stage := range r.chain.Stages { // any of them may have failed
 		g.gateway.control.requestProbe(stage.Server)
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -307,6 +307,7 @@
 		return outcomeNotRun, err
 	}
 	c.gateway.control.recordFailure(id)
+	c.logBroken(id, false, 0)
 	c.reportCrash(id)
 	return outcomeUnknown, err
 }
