Failing tests: requests that share one prompt part crash engine after engine

Callers saw 502 and refusals for sound requests of the same key for as long as such requests came: 24 engines of the stand-in, ten requests a second with the part and ten sound ones.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -126,6 +126,7 @@
 	}
 	s := httptest.NewServer(e)
 	d.t.Cleanup(s.Close)
+	e.CloseConnections = s.CloseClientConnections
 	e.Address = s.Listener.Addr().String()
 	d.engines[e.Address] = e
 	e.OnLayersChanged(e)
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -188,6 +188,8 @@
 	PeerByAddress func(address string) *Engine
 	// OnLayersChanged is called after each change of the layers.
 	OnLayersChanged func(e *Engine)
+	// CloseConnections closes all connections to the engine; needed for crashes.
+	CloseConnections func()
 	// LoadTime is the duration of a load.
 	LoadTime time.Duration
 	// EventCount is the number of events of a complete answer.
@@ -215,6 +217,9 @@
 	//   - "text": an event stream that holds a line of text
 	//   - "end": an event stream without an event, ended by the connection
 	resumeFault string
+	crash       Crash
+	// downUntil is when the engine is up again after a crash.
+	downUntil time.Time
 	// OnRequest is called with the path of each request that reaches the engine, and with
 	// "part" for each part of a chain; it may be nil.
 	OnRequest func(path string)
@@ -228,6 +233,57 @@
 	e.shedding = shedding
 }
 
+// Crash says which generations crash an engine.
+type Crash struct {
+	// Part is the ID of the prompt part that crashes the engine as it begins to write; empty for
+	// none.
+	Part string
+	// Once crashes the engine at the next generation, whatever it holds.
+	Once bool
+	// Down is how long the engine is gone after a crash.
+	Down time.Duration
+	// OnArrival is called for each generation that reaches the engine, with whether it holds Part.
+	OnArrival func(crashes bool)
+}
+
+// SetCrash sets which generations crash the engine.
+func (e *Engine) SetCrash(c Crash) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash = c
+}
+
+// isDown reports whether the engine is gone after a crash.
+func (e *Engine) isDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.downUntil)
+}
+
+// crashOn ends the engine if a generation crashes it: it sends the head of the answer, breaks all
+// connections and does not return.
+func (e *Engine) crashOn(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	c := e.crash
+	holdsPart := c.Part != "" && strings.Contains(","+r.Header.Get("Prompt-Prefix"), ","+c.Part+":")
+	crashes := holdsPart || c.Once
+	e.crash.Once = false
+	if crashes {
+		e.downUntil = time.Now().Add(c.Down)
+	}
+	e.mu.Unlock()
+	if c.OnArrival != nil {
+		c.OnArrival(holdsPart)
+	}
+	if !crashes {
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	w.(http.Flusher).Flush()
+	go e.CloseConnections() // waits for this handler
+	panic(http.ErrAbortHandler)
+}
+
 // SetResumeFault sets how requests that continue a stream are answered; see
 // Engine.resumeFault for the values.
 func (e *Engine) SetResumeFault(fault string) {
@@ -316,6 +372,9 @@
 
 // ServeHTTP serves generations, reports and orders.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	e.setLeavingHeader(w)
 	if r.Header.Get("Hop-Count") == "" {
 		e.notifyRequest(r.URL.Path)
@@ -446,6 +505,7 @@
 	if r.Header.Get("Last-Event-Id") != "" && e.writeResumeFault(w) {
 		return
 	}
+	e.crashOn(w, r)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.mu.Lock()
 	breakAfter, failing := e.breakAfter, e.failing
