A stopping VM takes no plain request that its exit would cut

Report of another operator: in a planned stop, requests that came late in the grace time were taken and passed on; at its end they were cut without an answer, also such that may not be repeated.

Cause: a stopping VM admitted requests of plain services until half of the grace time, and until 0.7 s before its exit while no other VM was ready. It did not ask how long the route may last. Generations have such a limit.

Now such a request is refused at once as not run, with a retry delay, unless its answer is due before the exit or it came within the time that the platform excuses; a lookup with a deadline of 0.5 s is still served.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -193,13 +193,17 @@
 }
 
 func (d *deployment) sendRequest(method, path, id, key string, body string) reply {
+	return d.sendWithDeadline(method, path, id, key, body, 10*time.Second)
+}
+
+func (d *deployment) sendWithDeadline(method, path, id, key, body string, deadline time.Duration) reply {
 	r, err := http.NewRequest(method, "http://"+d.settings.Self.Address+path, strings.NewReader(body))
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	r.Host = "h.example"
 	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Milliseconds", "10000")
+	r.Header.Set("Deadline-Milliseconds", strconv.FormatInt(deadline.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Bearer "+key)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -15,6 +15,7 @@
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/handover"
 	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/result"
 	"github.com/cornelline/cornelline/platform"
@@ -60,6 +61,10 @@
 
 // servePlain serves a request for a plain service.
 func (c *call) servePlain(service *catalog.Service) {
+	if !handover.AcceptsPlain(time.Now(), c.gateway.handoverSelf(), c.timeRemaining()) {
+		c.refuse(result.Draining, c.drainRetryAfter())
+		return
+	}
 	avoid := make(map[fleet.UpstreamID]bool)
 	for serversTried := 0; ; serversTried++ {
 		s, unavailable := c.pickPlainServer(service, avoid)
--- a/pkg/handover/handover.go
+++ b/pkg/handover/handover.go
@@ -111,6 +111,12 @@
 	return self.accepts(now) || now.Add(longest).Before(self.ExitDeadline)
 }
 
+// AcceptsPlain reports whether a VM accepts a request of a plain service now that lasts at most a
+// given time.
+func AcceptsPlain(now time.Time, self VM, longest time.Duration) bool {
+	return self.accepts(now) || now.Add(longest).Before(self.ExitDeadline)
+}
+
 // RetryDelay returns the retry delay of callers that a stopping VM refuses. It is short if
 // another VM accepts them; otherwise it lasts until the first of the VMs has restarted, plus
 // jitter. random is in [0, 1).
--- a/pkg/handover/handover_test.go
+++ b/pkg/handover/handover_test.go
@@ -129,3 +129,15 @@
 	is.Equal(handover.PublishedAddresses(at(6), []handover.VM{stopping("self", 0), {Address: "dead", Stale: true}}), []string{"self"})
 	is.Equal(handover.RetryDelay(at(6), stopping("self", 0), []handover.VM{{Address: "dead", Stale: true}}, 0), 2200*time.Millisecond)
 }
+
+// TestStoppingVMLeavesLongPlainRequests guards against requests of plain services that a stopping VM
+// accepts late in its grace time and cuts at its exit.
+func TestStoppingVMLeavesLongPlainRequests(t *testing.T) {
+	is := is.New(t)
+	self := handover.VM{Stopping: true, StopOrderedAt: at(0), ExitDeadline: at(7)}
+	is.True(handover.AcceptsPlain(at(9), handover.VM{}, time.Hour))
+	is.True(handover.AcceptsPlain(at(2.6), self, time.Hour)) // excused if the exit interrupts it
+	is.True(!handover.AcceptsPlain(at(3), self, 4*time.Second))
+	is.True(handover.AcceptsPlain(at(3), self, 3900*time.Millisecond))
+	is.True(!handover.AcceptsPlain(at(6.5), self, time.Second))
+}
