Test of streams that end with their connection

Read as handled, now shown: such a stream is whole if it ends between two events, and goes on at another engine if it ends inside an event or before the first one. The test passes on the code before. No code changes outside of the stand-in.

--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -218,6 +219,7 @@
 	//   - "end": an event stream without an event, ended by the connection
 	resumeFault string
 	crash       Crash
+	ending      Ending
 	// downUntil is when the engine is up again after a crash.
 	downUntil time.Time
 	// OnRequest is called with the path of each request that reaches the engine, and with
@@ -233,6 +235,49 @@
 	e.shedding = shedding
 }
 
+// Ending makes streams have neither a length nor chunks.
+type Ending struct {
+	// Streams is the number of streams that are still to end so, over all engines that share it.
+	Streams *atomic.Int32
+	// Events is the number of events after which they end.
+	Events int
+	// InsideEvent ends them in the middle of the next event.
+	InsideEvent bool
+}
+
+// SetEnding sets how streams end.
+func (e *Engine) SetEnding(ending Ending) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ending = ending
+}
+
+// writeUnframed writes a stream that ends with its connection if one is due, and reports whether it
+// did.
+func (e *Engine) writeUnframed(w http.ResponseWriter, last int) bool {
+	e.mu.Lock()
+	ending := e.ending
+	e.mu.Unlock()
+	if ending.Streams == nil || ending.Streams.Add(-1) < 0 {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return true
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(conn) // fails if the caller has disconnected
+	_, _ = io.WriteString(conn, "\r\n")
+	for n := last + 1; n <= min(last+ending.Events, e.EventCount); n++ {
+		_, _ = io.WriteString(conn, formatEvent(n))
+	}
+	if ending.InsideEvent {
+		fmt.Fprintf(conn, "id: %d\nda", last+ending.Events+1)
+	}
+	return true
+}
+
 // Crash says which generations crash an engine.
 type Crash struct {
 	// Part is the ID of the prompt part that crashes the engine as it begins to write; empty for
@@ -507,6 +552,9 @@
 	}
 	e.crashOn(w, r)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if e.writeUnframed(w, last) {
+		return
+	}
 	e.mu.Lock()
 	breakAfter, failing := e.breakAfter, e.failing
 	e.breakAfter = 0
