The front end refuses conversations that share a message which crashes engines

Fingerprints now carry hashes of all messages but the last one, and the tracker gives them to pkg/crashcause with its crash reports. A completed request with suspected parts is announced to the other VMs (message kind Completed). The VM that owns the permits of a part lets one request through when it is due.

--- a/pkg/chat/chat.go
+++ b/pkg/chat/chat.go
@@ -111,6 +111,16 @@
 	return b.String()
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all messages but the
+// last.
+func (r Request) SharedParts() []string {
+	var parts []string
+	for _, m := range r.Messages[:max(len(r.Messages)-1, 0)] {
+		parts = append(parts, m.Role+" "+string(m.Content))
+	}
+	return parts
+}
+
 func (r Request) maxTokens() *int {
 	if r.MaxCompletionTokens != nil {
 		return r.MaxCompletionTokens
--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -33,7 +33,7 @@
 // admit waits until the request may run. A request that is not suspected is admitted
 // at once.
 func (q *suspects) admit(ctx context.Context, g *generation) (*quarantine.Fingerprint, error) {
-	fingerprint := quarantine.NewFingerprint(g.team, g.request.Model, []byte(g.request.Prompt()))
+	fingerprint := quarantine.NewFingerprint(g.team, g.request.Model, []byte(g.request.Prompt())).WithParts(g.request.SharedParts())
 	decided := make(chan quarantine.Action, 1)
 	q.step(func(now time.Time) []quarantine.Action {
 		q.waiting[g.id] = decided
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -1,10 +1,12 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cornelline/cornelline/pkg/crashcause"
 	"github.com/cornelline/cornelline/pkg/fleet"
 )
 
@@ -29,8 +31,28 @@
 	BodyHash uint64 `msgpack:"x"`
 	// Sketch is a one-permutation minhash of the body's shingles; 0 marks an empty bin.
 	Sketch [sketchSize]uint32 `msgpack:"s"`
+	// Parts are the parts of the body that other requests may share.
+	Parts []crashcause.Part `msgpack:"p,omitempty"`
 }
 
+// WithParts returns the fingerprint with the parts of the body that other requests may share, such
+// as the earlier messages of a conversation.
+func (f Fingerprint) WithParts(parts []string) Fingerprint {
+	f.Parts = nil
+	for _, p := range parts[:min(len(parts), crashcause.MaxParts)] {
+		f.Parts = append(f.Parts, crashcause.PartOf(string(f.Team)+"\x00"+string(f.Model)+"\x00"+string(normalise([]byte(p)))))
+	}
+	return f
+}
+
+// request identifies all requests with the same normalised body.
+func (f *Fingerprint) request() crashcause.Part {
+	return crashcause.PartOf(fmt.Sprintf("%s\x00%s\x00%d", f.Team, f.Model, f.BodyHash))
+}
+
+// allParts returns the parts and the request itself.
+func (f *Fingerprint) allParts() []crashcause.Part { return append(slices.Clone(f.Parts), f.request()) }
+
 // NewFingerprint returns the fingerprint of a request body.
 func NewFingerprint(team fleet.TeamID, model fleet.ModelID, body []byte) Fingerprint {
 	text := normalise(body)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -23,6 +23,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cornelline/cornelline/pkg/crashcause"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/result"
 )
@@ -78,6 +79,8 @@
 	PermitGrant
 	// PermitRelease releases a permit or withdraws the request for it.
 	PermitRelease
+	// Completed announces that a request with suspected parts completed.
+	Completed
 )
 
 // Message is sent between entry VMs. An empty To addresses all VMs.
@@ -157,11 +160,15 @@
 	running        map[fleet.RequestID]*runningRequest
 	waiting        []*waitingRequest
 	permits        []*permit
+	parts          parts
 }
 
 // New returns a tracker for the VM self. Until SetVMs is called, self is the only VM.
 func New(cfg Config, self fleet.VMID) *Tracker {
-	return &Tracker{cfg: cfg, self: self, vms: []fleet.VMID{self}, running: make(map[fleet.RequestID]*runningRequest)}
+	return &Tracker{
+		cfg: cfg, self: self, vms: []fleet.VMID{self}, running: make(map[fleet.RequestID]*runningRequest),
+		parts: parts{causes: crashcause.NewTracker()},
+	}
 }
 
 // SetConfig replaces the limits. Quarantines already in force keep their end.
@@ -184,6 +191,9 @@
 // Admit decides on a request before it is placed on a chain. A request that is not a suspect
 // is allowed at once, a suspect waits for a permit, and a quarantined request is refused.
 func (t *Tracker) Admit(now time.Time, id fleet.RequestID, f *Fingerprint, out []Action) []Action {
+	if until, refused := t.parts.refuses(now, f, func(key string) bool { return t.ownerOf(key) == t.self }); refused {
+		return append(out, Action{Kind: Refuse, Request: id, Code: result.Quarantined, RetryAfter: max(until.Sub(now), t.cfg.PermitTimeout)})
+	}
 	s := t.findSuspect(f)
 	if s == nil {
 		return append(out, Action{Kind: Allow, Request: id})
@@ -235,6 +245,10 @@
 		return out
 	}
 	delete(t.running, id)
+	if completed && t.parts.suspected(&r.print) {
+		t.parts.recordCompleted(now, &r.print)
+		out = append(out, Action{Kind: Send, Message: Message{Kind: Completed, From: t.self, Fingerprints: []Fingerprint{r.print}}})
+	}
 	s := t.findSuspect(&r.print)
 	if r.hasPermit {
 		out = t.sendToOwner(now, Message{Kind: PermitRelease, Request: id, Fingerprints: []Fingerprint{r.print}}, s, out)
@@ -288,6 +302,10 @@
 				t.removeSuspect(s)
 			}
 		}
+	case Completed:
+		for i := range m.Fingerprints {
+			t.parts.recordCompleted(now, &m.Fingerprints[i])
+		}
 	case PermitRequest, PermitRelease:
 		return t.handleAsOwner(now, m, out)
 	case PermitGrant:
@@ -304,6 +322,7 @@
 		i = len(t.crashes) - 1
 	}
 	c := t.crashes[i]
+	t.parts.recordCrash(now, id, fingerprints)
 	for k := range fingerprints {
 		s := t.findSuspect(&fingerprints[k])
 		if s == nil {
@@ -368,6 +387,8 @@
 			t.evaluateCrash(now, c)
 		}
 	}
+	t.parts.causes.SetAlone(len(t.vms) <= 1)
+	t.parts.update(now)
 	t.expire(now)
 	out = t.updateWaiting(now, out)
 	out = t.renewPermits(now, out)
