Soak: requests with a part that crashes engines, and engines that come back as new incarnations

The soak now sends them through all VMs, beside its other faults (kills, stops, pauses, a store that is cut off or forgets), and reports a violation when more than three reach engines later than 3 s after the fifth crash through VMs that were not disturbed.

Cause: the stand-in kept its start time after a crash, so that three engines counted as three upstreams however often they crashed. On the platform each start is a new incarnation; the stand-in's entry now has one.

--- a/pkg/gateway/crashingpart_test.go
+++ b/pkg/gateway/crashingpart_test.go
@@ -38,10 +38,7 @@
 	arrivals []time.Time
 }
 
-func (w *crashWatch) onArrival(crashes bool) {
-	if !crashes {
-		return
-	}
+func (w *crashWatch) onArrival(string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.arrivals = append(w.arrivals, time.Now())
@@ -87,12 +84,11 @@
 		d.t.Error(err)
 		return false
 	}
-	userplatform.CallerRequest{ID: id, Key: "k", Deadline: 5 * time.Second}.SetHeaders(r)
 	prefix := ""
 	for _, p := range parts {
 		prefix += p + ":100,"
 	}
-	r.Header.Set("Prompt-Prefix", prefix+"own"+id+":20")
+	userplatform.CallerRequest{ID: id, Key: "k", Deadline: 5 * time.Second, PromptParts: prefix + "own" + id + ":20"}.SetHeaders(r)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return false
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -18,6 +18,7 @@
 var faults = []fault{
 	killVM, pauseVM, terminateVM, killAllVMs, degradeStoreLink, degradeStoreLink, degradeServerLink, degradeServerLink, resetLinks, setServerFault, breakStream, breakAllStreams,
 	loseWriteAnswers, stopStore, forgetHistory, moveLeadership, changeConfig, drainPlainServer, announceLeaving, requestPause, restoreStore,
+	sendCrashingPart, sendCrashingPart,
 }
 
 // injectFaults injects faults until the calm period at the end of the run begins and all
@@ -36,6 +37,9 @@
 		if strings.HasPrefix(name, drainPrefix) {
 			duration += drainLimit // the server may still receive requests for this long
 		}
+		if strings.HasPrefix(name, crashingPrefix) {
+			duration += crashingTime
+		}
 		w.record("%s", name)
 		if endFault != nil {
 			active.Go(func() {
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -180,6 +180,7 @@
 		if err != nil {
 			return err
 		}
+		e.CloseConnections = w.servers[len(w.servers)-1].CloseClientConnections
 		e.Address = link.Address()
 		byAddress[e.Address] = e
 		w.engines = append(w.engines, &engineServer{e, link})
--- a/pkg/standin/userplatform/caller.go
+++ b/pkg/standin/userplatform/caller.go
@@ -16,6 +16,8 @@
 	Deadline time.Duration
 	// LastEvent is the number of the last event that the caller received; 0 for none.
 	LastEvent int
+	// PromptParts lists the parts of the prompt; empty for none.
+	PromptParts string
 }
 
 // SetHeaders sets the host and the headers of a caller's request.
@@ -24,6 +26,9 @@
 	r.Header.Set("Request-Id", c.ID)
 	r.Header.Set("Deadline-Milliseconds", strconv.FormatInt(c.Deadline.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Bearer "+c.Key)
+	if c.PromptParts != "" {
+		r.Header.Set("Prompt-Prefix", c.PromptParts)
+	}
 	if c.LastEvent > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(c.LastEvent))
 	}
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -287,8 +287,9 @@
 	Once bool
 	// Down is how long the engine is gone after a crash.
 	Down time.Duration
-	// OnArrival is called for each generation that reaches the engine, with whether it holds Part.
-	OnArrival func(crashes bool)
+	// OnArrival is called with the ID of each generation with Part that reaches the engine; it may
+	// be nil.
+	OnArrival func(id string)
 }
 
 // SetCrash sets which generations crash the engine.
@@ -305,6 +306,14 @@
 	return time.Now().Before(e.downUntil)
 }
 
+// startAgain makes the engine a new incarnation. Unlike a real one it keeps its layers.
+func (e *Engine) startAgain() {
+	e.mu.Lock()
+	e.startMillis = time.Now().UnixMilli()
+	e.mu.Unlock()
+	e.OnLayersChanged(e)
+}
+
 // crashOn ends the engine if a generation crashes it: it sends the head of the answer, breaks all
 // connections and does not return.
 func (e *Engine) crashOn(w http.ResponseWriter, r *http.Request) {
@@ -317,8 +326,8 @@
 		e.downUntil = time.Now().Add(c.Down)
 	}
 	e.mu.Unlock()
-	if c.OnArrival != nil {
-		c.OnArrival(holdsPart)
+	if holdsPart && c.OnArrival != nil {
+		c.OnArrival(r.Header.Get("Request-Id"))
 	}
 	if !crashes {
 		return
@@ -326,6 +335,7 @@
 	w.WriteHeader(http.StatusOK)
 	w.(http.Flusher).Flush()
 	go e.CloseConnections() // waits for this handler
+	time.AfterFunc(c.Down, e.startAgain)
 	panic(http.ErrAbortHandler)
 }
 
