State messages name all crash causes in turn

Read in the change: a state message held the 16 groups with the latest crashes, and a VM that starts learns of groups from state messages alone unless it reads the list of upstreams from the store. With more than 16 it never heard of the others. They are now sent in turn; TestManyCrashGroupsAreSentInTurn (40 groups, five messages) failed with 16 heard before.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -178,13 +178,12 @@
 	c.crashes.RecordSound(now, m.Sound)
 }
 
-// crashGroups returns the groups for a state message.
+// crashGroups returns the groups for a state message, in turn if there are many.
 func (c *control) crashGroups(now time.Time) []peering.CrashGroup {
+	groups := c.crashes.Groups()
 	var list []peering.CrashGroup
-	for _, g := range c.crashes.Groups() {
-		if len(list) == maxReportedGroups {
-			break
-		}
+	for i := range min(len(groups), maxReportedGroups) {
+		g := groups[(int(c.sequence)*maxReportedGroups+i)%len(groups)]
 		list = append(list, peering.CrashGroup{Parts: g.Parts, Crashes: g.Crashes, FailedTrials: g.FailedTrials, LastCrashAgo: now.Sub(g.LastCrash)})
 	}
 	return list
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -59,7 +59,7 @@
 	// Refused holds the fingerprints of generations that the VM refused since its last
 	// state message. Their callers may retry at any VM.
 	Refused []uint64
-	// CrashGroups are the groups that the VM refuses, those with the latest crashes first.
+	// CrashGroups are groups that the VM refuses, a bounded number in turn.
 	CrashGroups []CrashGroup
 	// Dead lists upstreams that refuse connections or do not answer.
 	Dead []fleet.UpstreamID
