--- a/pkg/exchange/cuthead_test.go
+++ b/pkg/exchange/cuthead_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -72,7 +71,7 @@
 		body, err := io.ReadAll(r.Body)
 		r.Close()
 		if err == nil && (r.Status != http.StatusOK || string(body) != "1" || r.Header.Get("Id") != "b") {
-			t.Fatal(fmt.Sprintf("cut after %q: %d, %q", first[:cut], r.Status, body))
+			t.Fatalf("cut after %q: %d, %q", first[:cut], r.Status, body)
 		}
 	}
 }
