Test of the crashing part sends for 20 s instead of 14

From twice the settle time after it only 14 sound requests were sent (14 served), and the check wants 20 to judge. The checks and bounds are unchanged; the requests go on for longer.

--- a/pkg/gateway/crashingpart_test.go
+++ b/pkg/gateway/crashingpart_test.go
@@ -172,7 +172,7 @@
 // else and crash engine after engine, and against refusing the sound requests that share the rest.
 func TestPartThatCrashesEnginesIsRefused(t *testing.T) {
 	t.Parallel()
-	const length = 14 * time.Second
+	const length = 20 * time.Second
 	for _, c := range []struct{ place, vms int }{{0, 1}, {1, 1}, {2, 2}, {1, 3}} {
 		t.Run(fmt.Sprintf("place %d, %d VMs", c.place, c.vms), func(t *testing.T) {
 			t.Parallel()
