Sound runs cost no hashes while nothing is suspected; two copies removed

Each answered request hashed all parts of its prompt before it was known whether anything is suspected; reportSound now looks first. AcceptsGeneration repeated the condition of AcceptsPlain and calls it. Behaviour, bounds and assertions are unchanged.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -107,12 +107,17 @@
 	})
 }
 
-// reportSound reports that what the given parts of the request might have crashed did not crash.
-func (c *call) reportSound(parts []crashcause.Part) {
+// reportSound reports that a run of the request was sound. completed is set if it was answered
+// completely, which also says so of the request as a whole.
+func (c *call) reportSound(completed bool) {
 	f := c.gateway.crashFilter.Load()
 	if f == nil {
 		return
 	}
+	parts := c.sharedParts()
+	if completed {
+		parts = c.allParts()
+	}
 	if suspected := f.Suspected(parts); len(suspected) > 0 {
 		c.gateway.control.post(func(time.Time) {
 			c.gateway.control.addSoundReports(suspected)
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -487,7 +487,7 @@
 				}
 				g.forwardEvents(now, response, complete)
 				if r.becameSound(now) {
-					g.reportSound(g.sharedParts())
+					g.reportSound(false)
 				}
 			} else if g.headerSent && len(complete) > 0 { // only stream comments, no event
 				g.writeAndFlush(complete)
@@ -511,7 +511,7 @@
 			g.reportBroken(r.firstInstance(), true, r.sound)
 			return outcomeUnknown, io.ErrUnexpectedEOF
 		}
-		g.reportSound(g.allParts())
+		g.reportSound(true)
 		g.gateway.stats.LongestGap(g.rank, g.longestGap)
 		g.recordAnswer(http.StatusOK, func(e *zerolog.Event) {
 			e.Int64("first_event_ms", g.timeToFirstEvent.Milliseconds()).Int64("longest_gap_ms", g.longestGap.Milliseconds()).
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -332,7 +332,7 @@
 		c.reportBroken(s.instance(), true, false)
 		return outcomeUnknown, err
 	}
-	c.reportSound(c.allParts())
+	c.reportSound(true)
 	if response.Status >= http.StatusInternalServerError {
 		c.gateway.stats.Count("upstream_errors")
 	} else {
--- a/pkg/handover/handover.go
+++ b/pkg/handover/handover.go
@@ -108,7 +108,7 @@
 	if self.Stopping && AnyReady(others) {
 		return now.Before(self.StopOrderedAt.Add(self.shareOfGrace(maxAcceptTimeWithPeer, maxAcceptShareWithPeer)))
 	}
-	return self.accepts(now) || now.Add(longest).Before(self.ExitDeadline)
+	return AcceptsPlain(now, self, longest)
 }
 
 // AcceptsPlain reports whether a VM accepts a request of a plain service now that lasts at most a
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -19,15 +18,7 @@
 		allowedLate  = 3
 	)
 	for seed := range uint64(10) {
-		f := &testFleet{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0),
-			jobs: make(map[fleet.RequestID]*job), incarnations: make(map[fleet.UpstreamID]int),
-			refused: make(map[fleet.RequestID]int), completed: make(map[fleet.RequestID]bool),
-			resubmitAt: make(map[fleet.RequestID]time.Time)}
-		vms := []fleet.VMID{vmID(0), vmID(1), vmID(2), vmID(3)}
-		for i := range vms {
-			f.trackers = append(f.trackers, quarantine.New(quarantine.DefaultConfig(), vms[i]))
-			f.trackers[i].SetVMs(f.now, vms)
-		}
+		f := newTestFleet(seed)
 		var crashedAt []time.Time
 		sound, served := 0, 0
 		var late []fleet.RequestID
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -61,6 +61,22 @@
 	resubmitAt map[fleet.RequestID]time.Time
 }
 
+// newTestFleet returns a fleet of four VMs.
+func newTestFleet(seed uint64) *testFleet {
+	f := &testFleet{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0),
+		jobs: make(map[fleet.RequestID]*job), incarnations: make(map[fleet.UpstreamID]int),
+		refused: make(map[fleet.RequestID]int), completed: make(map[fleet.RequestID]bool),
+		resubmitAt: make(map[fleet.RequestID]time.Time),
+	}
+	vms := []fleet.VMID{vmID(0), vmID(1), vmID(2), vmID(3)}
+	for i := range vms {
+		f.trackers = append(f.trackers, quarantine.New(quarantine.DefaultConfig(), vms[i]))
+		f.trackers[i].SetVMs(f.now, vms)
+	}
+	return f
+}
+
 func (f *testFleet) apply(vm int, actions []quarantine.Action) {
 	for _, a := range actions {
 		switch a.Kind {
@@ -166,15 +182,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		load := rapid.IntRange(1, 120).Draw(t, "innocents in flight")
-		f := &testFleet{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0),
-			jobs: make(map[fleet.RequestID]*job), incarnations: make(map[fleet.UpstreamID]int),
-			refused: make(map[fleet.RequestID]int), completed: make(map[fleet.RequestID]bool),
-			resubmitAt: make(map[fleet.RequestID]time.Time)}
-		vms := []fleet.VMID{vmID(0), vmID(1), vmID(2), vmID(3)}
-		for i := range vms {
-			f.trackers = append(f.trackers, quarantine.New(quarantine.DefaultConfig(), vms[i]))
-			f.trackers[i].SetVMs(f.now, vms)
-		}
+		f := newTestFleet(seed)
+		f.t = t
 		poison := []byte("the body that makes every engine fail when it is run")
 		for step := range 2500 {
 			for n := 0; step < 1200 && len(f.running) < load && n < 20; n++ {
