VMs of a soak take each other's messages; the secret of the VMs can be set

In the soak each VM has its own link to the store, and the VMs derive the secret with which they authenticate each other from the address of the store. They refused each other's messages (event 504) and acted alone, so that no soak covered the protocol between VMs.

The environment variable CORNELLINE_FLEET_SECRET sets the secret; without it nothing changes. The soak sets it, and checks at the end of each run that the directory of each VM names all VMs.

--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -104,3 +104,33 @@
 	code := Run(ctx, append([]string{"--address", address}, strings.Fields(args)...), &out, &errOut)
 	return code, out.String() + errOut.String()
 }
+
+// nodeFile is a platform's settings file of a VM.
+const nodeFile = `node_name: vm-0
+zone: a
+region: r
+ip: 127.0.0.1
+listen: {front: "127.0.0.1:1", ready: "127.0.0.1:2", control: "127.0.0.1:3", directory: "127.0.0.1:4"}
+internal_ports: [5, 5]
+seeds: ["127.0.0.1:3"]
+heartbeat_ms: 1000
+bounds: {settle_window_ms: 3000, drain_ms: 2000, grace_s: 8, config_ms: 2000, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 200, stall_ms: 3000, ttl_max_s: 5}
+platform: {address: "127.0.0.1:6", min_ttl_ms: 1000}
+`
+
+// TestShortFleetSecretIsRefused guards against a secret of the VMs that is easily guessed.
+func TestShortFleetSecretIsRefused(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "local.yaml")
+	if err := os.WriteFile(file, []byte(nodeFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for secret, want := range map[string]int{"": ExitOK, "fifteen bytes!!": ExitFailed, "sixteen bytes!!!": ExitOK} {
+		t.Run(secret, func(t *testing.T) {
+			is := is.New(t)
+			t.Setenv("CORNELLINE_FLEET_SECRET", secret)
+			var out, errOut bytes.Buffer
+			is.Equal(Run(t.Context(), []string{"gateway", "--check", "--settings", file}, &out, &errOut), want)
+			t.Log(out.String() + errOut.String())
+		})
+	}
+}
--- a/pkg/cli/gateway.go
+++ b/pkg/cli/gateway.go
@@ -18,8 +18,13 @@
 	command
 	Settings string `long:"settings" value-name:"FILE" description:"the platform's settings file; the default is what CORNELLINE_NODE_FILE names"`
 	Check    bool   `long:"check" description:"check the settings and end"`
+	// FleetSecret has no flag in normal use: arguments are visible to other users of a machine.
+	FleetSecret string `long:"fleet-secret" hidden:"true" env:"CORNELLINE_FLEET_SECRET"`
 }
 
+// minFleetSecret is the shortest secret that is accepted, in bytes.
+const minFleetSecret = 16
+
 // memoryLimitShare is the part of the platform's memory limit that is set as the memory
 // limit of the Go runtime, near which the garbage collector runs more often. The rest
 // is for stacks, kernel buffers and peaks.
@@ -35,6 +40,10 @@
 	if err != nil {
 		return result.New(result.ConfigInvalid, result.NotRun, "%v", err)
 	}
+	if c.FleetSecret != "" && len(c.FleetSecret) < minFleetSecret {
+		return result.New(result.ConfigInvalid, result.NotRun, "CORNELLINE_FLEET_SECRET has %d bytes: want %d or more", len(c.FleetSecret), minFleetSecret)
+	}
+	settings.FleetSecret = c.FleetSecret
 	if c.Check {
 		return nil
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -217,10 +217,13 @@
 	return result.New(result.AddressInUse, result.NotRun, "cannot listen on %s", address).WithCause(err)
 }
 
-// fleetSecret derives the secret with which entry VMs authenticate each other. The
-// platform's settings contain no secret: whoever knows the store's address is trusted as
-// part of the system. The store itself applies the same rule.
+// fleetSecret returns the secret with which entry VMs authenticate each other. Without one in
+// the settings, whoever knows the store's address is trusted as part of the system. The store
+// itself applies the same rule.
 func fleetSecret(s platform.Settings) []byte {
+	if s.FleetSecret != "" {
+		return []byte(s.FleetSecret)
+	}
 	sum := sha256.Sum256([]byte("cornelline " + s.Store.Address))
 	return sum[:]
 }
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -26,6 +26,8 @@
 	minServedShare = 0.25
 	// servedWindow is the time at the end of the run in which these requests are counted.
 	servedWindow = 4 * time.Second
+	// maxPublishedAddresses is the largest number of addresses in an answer of the directory.
+	maxPublishedAddresses = 64
 )
 
 // checker compares what callers and servers observe with the documented guarantees.
@@ -169,6 +171,18 @@
 	}
 }
 
+// checkDirectories checks that the directory of each VM names all VMs. It fails if they do not
+// take each other's messages.
+func (c *checker) checkDirectories(ctx context.Context) {
+	asking := newCaller(c.world, 0)
+	want := min(len(c.world.vms), maxPublishedAddresses)
+	for _, v := range c.world.vms {
+		if named := asking.fetchAddresses(ctx, v); ctx.Err() == nil && len(named) != want {
+			c.world.recordViolation(fmt.Sprintf("the directory of %s names %d VMs of %d after %v without a fault: %v", v.Name, len(named), want, calmTime, named))
+		}
+	}
+}
+
 // checkRuns checks how often requests ran. It is called after all callers and VMs have
 // stopped.
 func (c *checker) checkRuns() {
--- a/pkg/soak/fleet.go
+++ b/pkg/soak/fleet.go
@@ -59,6 +59,10 @@
 platform: {address: %[12]q, min_ttl_ms: 1000}
 `
 
+// fleetSecret is the secret of all VMs. By default they would derive it from the address of the
+// store, and each VM has a link of its own to it.
+const fleetSecret = "secret of the VMs of a soak"
+
 // loopbackNetworks is the number of /24 loopback networks that runs choose from.
 const loopbackNetworks = 50_000
 
@@ -119,7 +123,7 @@
 func (v *VM) run(ctx context.Context, binary string, reportViolation func(string)) {
 	for ctx.Err() == nil {
 		cmd := exec.Command(binary, "gateway")
-		cmd.Env = append(os.Environ(), "CORNELLINE_NODE_FILE="+v.settings)
+		cmd.Env = append(os.Environ(), "CORNELLINE_NODE_FILE="+v.settings, "CORNELLINE_FLEET_SECRET="+fleetSecret)
 		cmd.Stdout, cmd.Stderr = v.log, v.log
 		if err := cmd.Start(); err != nil {
 			reportViolation(fmt.Sprintf("%s does not start: %v", v.Name, err))
--- a/pkg/soak/world.go
+++ b/pkg/soak/world.go
@@ -132,6 +132,7 @@
 	w.record("calm until the end")
 	w.sleep(ctx, calmTime)
 	w.checker.checkServed(ctx)
+	w.checker.checkDirectories(ctx)
 	stopCallers()
 	w.sleep(ctx, time.Second)
 	stopProcesses()
