A trial on an upstream that another request crashed is no failed trial

Both groups were refused, as nothing told them apart. After 5 s the trial of the first group crashed e17. The trial of the second one went to e17 as well, 0.3 s later, while it was gone and before it was ejected; its run was broken without an answer and counted as a failed trial, which moved the next trial of the sound group to 2 min later.

Cause: any broken run of a group on a crashed upstream counted as a crash that the group explains. A run that had not begun is not charged any more if the answer to a request of another group had begun on the same upstream. The next trial of the group may then follow at once.

Ruled out: a wrong sound report for bad0 (none in the logs), the plan and ejected engines (chains were there: one request was served in the same second).

TestTrialOnACrashedUpstreamIsNoFailedTrial failed before (TrialDue false) and passes now.

--- a/pkg/crashcause/crashcause.go
+++ b/pkg/crashcause/crashcause.go
@@ -217,6 +217,9 @@
 		if !reported.isExplainedBy(g) || c.isExplainedBy(g) && now.Sub(g.LastCrash) < reportingTime {
 			continue
 		}
+		if !reported.hadBegun(g) && t.isCausedByOther(g, c, reported) {
+			continue
+		}
 		if g.onTrial || !now.Before(g.TrialFrom) {
 			g.FailedTrials++
 			g.onTrial = false
@@ -239,6 +242,19 @@
 	return slices.ContainsFunc(c.Runs, func(r Run) bool { return r.holds(g.Parts) })
 }
 
+// hadBegun reports whether the answer to a request of a group had begun when the upstream crashed.
+func (c *crash) hadBegun(g *Group) bool {
+	return slices.ContainsFunc(c.Runs, func(r Run) bool { return r.Began && r.holds(g.Parts) })
+}
+
+// isCausedByOther reports whether, according to some reports of a crash, the answer to a request of a
+// group other than g had begun.
+func (t *Tracker) isCausedByOther(g *Group, reports ...*crash) bool {
+	return slices.ContainsFunc(t.groups, func(other *Group) bool {
+		return other != g && slices.ContainsFunc(reports, func(c *crash) bool { return c.hadBegun(other) })
+	})
+}
+
 // SoundRuns is a number of runs with a part that were sound. For a whole request this means that it
 // was answered completely.
 type SoundRuns struct {
--- a/pkg/crashcause/crashcause_test.go
+++ b/pkg/crashcause/crashcause_test.go
@@ -201,6 +201,40 @@
 	is.True(!refuses(tracker, parts...))
 }
 
+// TestTrialOnACrashedUpstreamIsNoFailedTrial guards against refusing sound requests for minutes because
+// the request that was let through went to an upstream that another request had just crashed.
+func TestTrialOnACrashedUpstreamIsNoFailedTrial(t *testing.T) {
+	is := is.New(t)
+	tracker, now := crashcause.NewTracker(), epoch
+	crashing, sound := []crashcause.Part{1, 2, 9}, []crashcause.Part{1, 2, 3}
+	for n := 1; n <= 6; n++ {
+		tracker.RecordCrash(now, crashOf(n, crashing, sound))
+		now = complete(tracker, now)
+	}
+	is.True(refuses(tracker, crashing...) && refuses(tracker, sound...)) // nothing tells them apart
+	now = now.Add(5 * time.Second)
+	tracker.RecordTrial(now, crashing)
+	tracker.RecordCrash(now.Add(10*time.Millisecond), crashOf(7, crashing))
+	now = now.Add(300 * time.Millisecond)
+	tracker.RecordTrial(now, sound)
+	tracker.EndTrial(now, sound)
+	tracker.RecordCrash(now, crashcause.Crash{Upstream: instance(7), Runs: []crashcause.Run{{Request: 5, Parts: sound}}})
+	now = complete(tracker, now)
+	for parts, due := range map[*[]crashcause.Part]bool{&crashing: false, &sound: true} {
+		g, refused := tracker.Filter().Match(*parts)
+		is.True(refused)
+		is.Equal(g.TrialDue(now), due)
+	}
+	tracker.RecordTrial(now, sound)
+	tracker.RecordSound(now, runsOf(sound))
+	for range 5 {
+		tracker.RecordSound(now, runsOf(sound))
+	}
+	complete(tracker, now)
+	is.True(!refuses(tracker, sound...))
+	is.True(refuses(tracker, crashing...))
+}
+
 // TestRecordRoundTrip guards against a record in the store that a VM cannot read, and against one of
 // another writer that ends it.
 func TestRecordRoundTrip(t *testing.T) {
@@ -220,7 +254,7 @@
 func quietLoad(vms int) load {
 	return load{
 		vms: vms, engines: max(8, 2*vms), soundPerSecond: min(15*float64(vms), 300), queue: 100 * time.Millisecond,
-		down: 3 * time.Second, length: 30 * time.Second,
+		down: 3 * time.Second, soundKinds: 60, length: 30 * time.Second,
 	}
 }
 
@@ -241,6 +275,8 @@
 			l.place, l.pauseFrom, l.pauseTo, l.length = 1, 8*time.Second, 41*time.Second, 60*time.Second
 		},
 		"VMs start again":      func(l *load) { l.place, l.vmRestarts = 1, 2*time.Second },
+		"gone unnoticed":       func(l *load) { l.place, l.unnoticed = 1, 700*time.Millisecond },
+		"one kind of request":  func(l *load) { l.place, l.soundKinds, l.unnoticed = 2, 1, 700*time.Millisecond },
 		"engines fail as well": func(l *load) { l.place, l.failures = 1, []failure{{2 * time.Second, 6, 300 * time.Millisecond}} },
 	}
 	large := map[string]bool{"first part": true, "other parts vary": true, "lost messages": true}
--- a/pkg/crashcause/fleet_test.go
+++ b/pkg/crashcause/fleet_test.go
@@ -23,8 +23,11 @@
 	variants int
 	// queue is the mean time that a request waits at an engine before its answer begins.
 	queue time.Duration
-	// down is how long an engine is gone after a crash.
-	down time.Duration
+	// down is how long an engine is gone after a crash, and unnoticed for how long of that time
+	// requests are still sent to it.
+	down, unnoticed time.Duration
+	// soundKinds is the number of different sets of other parts that sound requests have.
+	soundKinds int
 	// messageLoss is the share of messages between VMs that are lost.
 	messageLoss float64
 	// pauseFrom and pauseTo bound a time without crashing requests.
@@ -124,6 +127,7 @@
 	id      int
 	start   int64
 	up      bool
+	downAt  time.Duration
 	resets  bool
 	running map[*simRun]bool
 }
@@ -157,7 +161,6 @@
 	events  eventHeap
 	vms     []*simVM
 	engines []*simEngine
-	up      int // engines that are up
 	nextID  crashcause.Part
 	outcome outcome
 }
@@ -186,7 +189,6 @@
 		s.vms[i].tracker.SetAlone(l.vms == 1)
 		s.at(time.Duration(s.random.Int64N(int64(tick))), func() { s.tick(i) })
 	}
-	s.up = l.engines
 	for i := range l.engines {
 		s.engines = append(s.engines, &simEngine{
 			id: i, up: true, running: map[*simRun]bool{},
@@ -286,7 +288,7 @@
 	// A sound request shares its first part with all others, its second one with few and its third
 	// one with some.
 	r := &simRequest{vm: s.vms[s.random.IntN(len(s.vms))], crashing: crashing, request: s.nextID + 1<<40}
-	kind := crashcause.Part(s.random.IntN(60))
+	kind := crashcause.Part(s.random.IntN(s.soundKinds))
 	if crashing {
 		kind = crashcause.Part(s.random.IntN(max(s.variants, 1)))
 	}
@@ -316,7 +318,7 @@
 			r.vm.tracker.RecordTrial(s.clock(), g.Parts)
 		}
 	}
-	if s.up == 0 || r.runs >= 2 {
+	if !slices.ContainsFunc(s.engines, s.isUsed) || r.runs >= 2 {
 		if r.onTrial && r.runs == 0 {
 			g, _ := r.vm.filter.Match(r.all())
 			r.vm.tracker.EndTrial(s.clock(), g.Parts)
@@ -324,11 +326,15 @@
 		return
 	}
 	engine := s.engines[s.random.IntN(len(s.engines))]
-	for !engine.up {
+	for !s.isUsed(engine) {
 		engine = s.engines[s.random.IntN(len(s.engines))]
 	}
 	r.runs++
 	run := &simRun{simRequest: r, engine: engine}
+	if !engine.up {
+		s.at(s.now+time.Millisecond, func() { s.broken(run) })
+		return
+	}
 	if r.crashing && s.now >= r.vm.inTouchFrom {
 		s.outcome.arrivals = append(s.outcome.arrivals, s.now)
 	}
@@ -336,6 +342,9 @@
 	s.at(s.now+s.exp(s.queue), func() { s.begin(run) })
 }
 
+// isUsed reports whether VMs send requests to an engine.
+func (s *simulation) isUsed(e *simEngine) bool { return e.up || s.now < e.downAt+s.unnoticed }
+
 // begin starts the answer of a run.
 func (s *simulation) begin(r *simRun) {
 	if !r.engine.running[r] {
@@ -395,14 +404,12 @@
 	}
 	slices.SortFunc(runs, func(a, b *simRun) int { return int(a.request) - int(b.request) })
 	clear(e.running)
-	e.up = false
-	s.up--
+	e.up, e.downAt = false, s.now
 	for _, r := range runs {
 		s.broken(r)
 	}
 	s.at(s.now+s.down, func() {
 		e.up, e.start = true, int64(s.now)
-		s.up++
 	})
 }
 
@@ -417,6 +424,9 @@
 	report.Add([]crashcause.Run{run})
 	r.vm.crashes[r.engine.instance()] = report
 	if r.onTrial {
+		if g, found := r.vm.filter.Match(r.all()); found {
+			r.vm.tracker.EndTrial(s.clock(), g.Parts)
+		}
 		return
 	}
 	s.at(s.now, func() { s.send(r.simRequest) })
