Two rounds of crashes refuse no part that was sound in between

Callers saw sound requests refused when all engines failed twice within 4 s for another reason (TestFleetTwiceWithoutEngines, listed as known red).

Five crashes in two rounds now suffice only if no run with the part was sound. The rule of three rounds is unchanged.

--- a/pkg/crashcause/crashcause.go
+++ b/pkg/crashcause/crashcause.go
@@ -87,8 +87,8 @@
 	// minRounds is the number of separate times at which they crashed. Upstreams that fail
 	// together, such as those of a rack, are one observation.
 	minRounds = 3
-	// manyCrashes is the number of upstreams from which manyCrashesRounds such times are enough:
-	// the upstreams of a small fleet may all be gone by then.
+	// manyCrashes is the number of upstreams from which manyCrashesRounds such times are enough if no
+	// run was sound: the upstreams of a small fleet may all be gone by then.
 	manyCrashes, manyCrashesRounds = 5, 2
 	// roundGap separates two of these times.
 	roundGap = 200 * time.Millisecond
@@ -494,9 +494,10 @@
 	manyAt time.Time
 }
 
-// suffices reports whether the evidence is enough if there is no better explanation.
-func (e *candidate) suffices() bool {
-	separate := e.rounds >= minRounds && e.crashes >= minCrashes || e.rounds >= manyCrashesRounds && e.weight >= manyCrashes
+// suffices reports whether the evidence is enough if there is no better explanation. sound is the
+// number of sound runs with the part.
+func (e *candidate) suffices(sound int) bool {
+	separate := e.rounds >= minRounds && e.crashes >= minCrashes || e.rounds >= manyCrashesRounds && e.weight >= manyCrashes && sound == 0
 	return separate && e.weight >= minWeight
 }
 
@@ -579,7 +580,7 @@
 	}
 	var tied []*candidate
 	for _, e := range all {
-		if e.weight == top && e.suffices() {
+		if e.weight == top && e.suffices(t.suspects[e.part].sound) {
 			tied = append(tied, e)
 		}
 	}
