A VM of the own front end is ready once its settings are in force

Callers could be sent to a VM that had read its settings and still served with the defaults: unknown keys, default limits, and a stop at that moment that drains for the default address.valid_for.

Cause: readiness followed the reader of the settings stream; the settings are compiled and put in force by another goroutine, later, which also pauses after each compilation. Readiness now needs both: the stream was read completely, and its settings are in force. Until then there is no pause between compilations, since it would delay readiness. What a VM needs before it may offer its state to others, and asks others for, is unchanged: the settings that it has read.

--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -62,6 +62,8 @@
 	services         *serviceClients
 	offered          offeredSnapshot
 	currentDirectory atomic.Pointer[directory]
+	// settingsInForce is set once settings that were read completely have been put in force.
+	settingsInForce atomic.Bool
 
 	retryMu sync.Mutex
 	retries *retry.Budget
@@ -156,22 +158,25 @@
 
 // watchSettings puts each new settings tree in force. Of trees that arrive faster than
 // they can be compiled, only the latest is used, so a burst of changes costs little.
-func (s *Server) watchSettings(ctx context.Context, changed <-chan struct{}) {
+func (s *Server) watchSettings(ctx context.Context, signals <-chan struct{}) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
+		case <-signals:
 		}
 		view := s.settings.View()
 		s.control.placer.handleRestoredLeases(view)
-		tree := view.Tree
-		if tree == s.directory().tree {
-			continue
+		start, wasReady := time.Now(), s.ready()
+		changed := view.Tree != s.directory().tree
+		if changed {
+			s.activateSettings(ctx, view.Tree)
 		}
-		start := time.Now()
-		s.activateSettings(ctx, tree)
-		if !sleep(ctx, compilePauseFactor*time.Since(start)) {
+		if view.Ready {
+			s.settingsInForce.Store(true)
+		}
+		// Until this VM is ready, a pause would delay that.
+		if changed && wasReady && !sleep(ctx, compilePauseFactor*time.Since(start)) {
 			return
 		}
 	}
--- a/pkg/entry/startup.go
+++ b/pkg/entry/startup.go
@@ -22,9 +22,9 @@
 	snapshotTimeout = 5 * time.Second
 )
 
-// errNotReady is returned to a peer that requests the state while this VM is not ready.
-// An unready VM must not count as a peer that answered: otherwise VMs that start
-// together during an outage would accept each other's empty state as the one in force.
+// errNotReady is returned to a peer that requests the state before this VM has read it. Such
+// a VM must not count as a peer that answered: otherwise VMs that start together during an
+// outage would accept each other's empty state as the one in force.
 var errNotReady = errors.New("no current state to offer")
 
 // errUnknownSnapshot is returned to a peer that requests a part of a snapshot that this
@@ -39,10 +39,10 @@
 	state  []byte
 }
 
-// fetchFromPeers asks the seeds for the state of the settings stream until this VM is
-// ready, because the log may be unavailable when the VM starts.
+// fetchFromPeers asks the seeds for the state of the settings stream until this VM has
+// read it, because the log may be unavailable when the VM starts.
 func (s *Server) fetchFromPeers(ctx context.Context) {
-	for !s.ready() {
+	for !s.hasReadSettings() {
 		var asked sync.WaitGroup
 		for _, seed := range s.cfg.Seeds {
 			asked.Go(func() { s.fetchFrom(ctx, seed) })
@@ -57,7 +57,7 @@
 }
 
 // fetchFrom fetches one peer's state and passes it to the replica. A peer that does not
-// answer or is not ready itself is asked again in the next round.
+// answer or has not read it either is asked again in the next round.
 func (s *Server) fetchFrom(ctx context.Context, peer string) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
@@ -105,7 +105,7 @@
 
 // offerState answers a peer's request for a part of this VM's state.
 func (s *Server) offerState(ctx context.Context, want *spread.SnapshotWant) (wire.Message, error) {
-	if !s.ready() {
+	if !s.hasReadSettings() {
 		return nil, errNotReady
 	}
 	o := &s.offered
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -59,8 +59,11 @@
 	return ctx.JSON(http.StatusOK, body)
 }
 
-// ready reports whether the VM has current settings.
-func (s *Server) ready() bool { return s.settings.View().Ready }
+// ready reports whether current settings are in force on this VM.
+func (s *Server) ready() bool { return s.hasReadSettings() && s.settingsInForce.Load() }
+
+// hasReadSettings reports whether this VM has read the current settings.
+func (s *Server) hasReadSettings() bool { return s.settings.View().Ready }
 
 // healthz answers GET /healthz for as long as the process runs.
 func (s *Server) healthz(ctx khttp.Context) error {
