Own front end: a suspect repeats its request for a permit

Callers of the own front end got 503 (3001, outcome unknown) after 4 to 8 s for a sound request whose engine was down, while other engines were free.

Timeline of two of them, from the request's steps: attempt on engine-1 at 0.5 ms, broken at 1.7 ms, then nothing for 4 s until the permit timed out. Nothing else ran; one to three connections between VMs had failed just before. Cause: the request for the permit, and the grant, were each sent once, and a message between VMs may be lost. A waiting request now repeats its request every 500 ms, and the owner answers the holder with the grant again; a holder that runs ignores it.

Ruled out: another suspect with the permit (a single request), an owner that grants nothing after a change of the VMs (2 s of the 4).

TestLostPermitMessages failed before (refused after the loss of either message) and passes.

--- a/pkg/quarantine/owner_test.go
+++ b/pkg/quarantine/owner_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,3 +68,50 @@
 		is.True(a.Message.Kind != quarantine.Cleared)
 	}
 }
+
+// TestLostPermitMessages guards against a suspect that is refused, although nothing else runs, because
+// a message to or from the owner of its permit was lost.
+func TestLostPermitMessages(t *testing.T) {
+	for _, lost := range []quarantine.Kind{quarantine.PermitRequest, quarantine.PermitGrant} {
+		for n := range 8 { // the owner depends on the body
+			is := is.New(t)
+			now := time.Unix(1e9, 0)
+			vms := map[fleet.VMID]*quarantine.Tracker{}
+			for _, id := range []fleet.VMID{"vm0", "vm1"} {
+				vms[id] = quarantine.New(quarantine.DefaultConfig(), id)
+				vms[id].SetVMs(now.Add(-time.Hour), []fleet.VMID{"vm0", "vm1"})
+			}
+			f := quarantine.NewFingerprint("t", "m", fmt.Appendf(nil, "body %d of a request that ran when an engine ended", n))
+			vms["vm0"].RecordStart(now, "first", &f, []fleet.UpstreamID{"e"})
+			losses, allowed := 0, 0
+			var deliver func(from fleet.VMID, actions []quarantine.Action)
+			deliver = func(from fleet.VMID, actions []quarantine.Action) {
+				for _, a := range actions {
+					switch {
+					case a.Kind == quarantine.Allow:
+						allowed++
+					case a.Kind == quarantine.Refuse:
+						t.Fatalf("refused after the loss of a message of kind %d", lost)
+					case a.Message.Kind == lost && losses == 0:
+						losses++
+					default:
+						for id, tracker := range vms {
+							if id != from && (a.Message.To == "" || a.Message.To == id) {
+								deliver(id, tracker.Receive(now, a.Message, nil))
+							}
+						}
+					}
+				}
+			}
+			deliver("vm0", vms["vm0"].RecordCrash(now, quarantine.CrashID{Upstream: "e", Incarnation: "1"}, nil))
+			deliver("vm0", vms["vm0"].RecordEnd(now, "first", false, nil))
+			deliver("vm0", vms["vm0"].Admit(now, "second", &f, nil))
+			for end := now.Add(2 * quarantine.DefaultConfig().PermitTimeout); now.Before(end); now = now.Add(100 * time.Millisecond) {
+				for id, tracker := range vms {
+					deliver(id, tracker.Tick(now, nil))
+				}
+			}
+			is.Equal(allowed, 1)
+		}
+	}
+}
--- a/pkg/quarantine/permit.go
+++ b/pkg/quarantine/permit.go
@@ -59,7 +59,7 @@
 	p := t.permits[i]
 	if p.holder.Request == m.Request {
 		p.expires = now.Add(t.cfg.PermitDuration)
-		return out
+		return t.sendGrant(now, p, out) // the first one may be lost
 	}
 	if !slices.ContainsFunc(p.queue, func(q Message) bool { return q.Request == m.Request }) {
 		p.queue = append(p.queue, m)
@@ -94,6 +94,11 @@
 	p.holder = p.queue[0]
 	p.queue = slices.Delete(p.queue, 0, 1)
 	p.expires = now.Add(t.cfg.PermitDuration)
+	return t.sendGrant(now, p, out)
+}
+
+// sendGrant sends a permit to its holder. A holder that runs ignores it.
+func (t *Tracker) sendGrant(now time.Time, p *permit, out []Action) []Action {
 	grant := Message{Kind: PermitGrant, From: t.self, To: p.holder.From, Request: p.holder.Request, Fingerprints: p.holder.Fingerprints}
 	if grant.To == t.self {
 		return t.handleGrant(now, grant, out)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -147,8 +147,13 @@
 	print           Fingerprint
 	since           time.Time
 	permitRequested bool
+	requestedAt     time.Time
 }
 
+// permitRequestInterval is the interval at which a waiting request repeats its request for a
+// permit: a message may be lost in either direction.
+const permitRequestInterval = 500 * time.Millisecond
+
 // Tracker holds the suspects known to one entry VM. It is not safe for concurrent use.
 type Tracker struct {
 	cfg            Config
@@ -211,7 +216,7 @@
 	if t.isBlocked(now, s) {
 		return out
 	}
-	w.permitRequested = true
+	w.permitRequested, w.requestedAt = true, now
 	return t.sendToOwner(now, Message{Kind: PermitRequest, Request: w.id, Fingerprints: []Fingerprint{w.print}}, s, out)
 }
 
@@ -407,7 +412,7 @@
 }
 
 // updateWaiting allows or refuses the waiting requests where the decision changed or the
-// permit timeout passed, and requests the permits that are not requested yet.
+// permit timeout passed, and requests the permits of the others.
 func (t *Tracker) updateWaiting(now time.Time, out []Action) []Action {
 	kept := t.waiting[:0]
 	for _, w := range t.waiting {
@@ -430,7 +435,8 @@
 	clear(t.waiting[len(kept):])
 	t.waiting = kept
 	for _, w := range slices.Clone(kept) {
-		if s := t.findSuspect(&w.print); !w.permitRequested && s != nil {
+		requestDue := !w.permitRequested || now.Sub(w.requestedAt) >= permitRequestInterval
+		if s := t.findSuspect(&w.print); requestDue && s != nil {
 			out = t.requestPermit(now, w, s, out)
 		}
 	}
