Test fleet waits until the teams' keys are in force on all VMs

TestEnginesDownBeforehandCauseNoQuarantine by itself got 401 in 9 of 24 runs: the settings are written through the first VM, and the fixture waited for the engines only, which come before the teams. A call right after the start showed VM 4 without both keys (401, where a known key of a team gets 403). The fixture now waits for the keys of both teams on every VM, as its comment promised. No check changed.

--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -85,8 +85,8 @@
 	f.group.Close()
 }
 
-// applySettings writes the settings through the first VM and waits until all engines
-// are ready on every VM.
+// applySettings writes the settings through the first VM and waits until the keys of the
+// teams are in force and all engines are ready on every VM.
 func (f *testFleet) applySettings() error {
 	data, err := f.Settings()
 	if err != nil {
@@ -101,6 +101,9 @@
 		f.send(0, http.MethodPut, "/v1/settings/"+b.Path, testbed.OperatorKey, http.Header{"If-Match": {`"0"`}}, b.Value)
 	}
 	for i := range f.VMs {
+		for _, key := range []string{testbed.TeamKey, testbed.OtherTeamKey} { // an unknown key gets 401
+			poll(func() bool { return f.get(i, "/v1/status", key).status == http.StatusForbidden })
+		}
 		poll(func() bool { return f.readyEngines(i) == len(f.Standins.Engines) })
 	}
 	return nil
