--- a/pkg/cli/gateway.go
+++ b/pkg/cli/gateway.go
@@ -18,7 +18,7 @@
 	command
 	Settings string `long:"settings" value-name:"FILE" description:"the platform's settings file; the default is what CORNELLINE_NODE_FILE names"`
 	Check    bool   `long:"check" description:"check the settings and end"`
-	// FleetSecret has no flag in normal use: arguments are visible to other users of a machine.
+	// The flag is hidden because arguments are visible to other users of the machine.
 	FleetSecret string `long:"fleet-secret" hidden:"true" env:"CORNELLINE_FLEET_SECRET"`
 }
 
