One answer for requests that crash upstreams, and no unused argument

Cause: found on reading the change. Plain requests and generations each counted and worded the refusal of a request that crashes upstreams, with the same text in three places; a generation that has sent its head is the only difference. Adopt had an argument that it does not use, and RecordCrash wrapped its report in another type once for each group. Change: the count stands where the decision is made, answerCrashing serves both, the queries of a crash are methods of Crash.

Result: no behaviour changes. pkg/crashcause passes, and the tests of pkg/gateway named Crash, Part or Quarant.

--- a/pkg/crashcause/crashcause.go
+++ b/pkg/crashcause/crashcause.go
@@ -141,11 +141,10 @@
 	}
 	c := t.crashes[i]
 	for _, g := range t.groups {
-		reported := &crash{Crash: report}
-		if !reported.isExplainedBy(g) || c.isExplainedBy(g) && now.Sub(g.LastCrash) < reportingTime {
+		if !report.isExplainedBy(g) || c.isExplainedBy(g) && now.Sub(g.LastCrash) < reportingTime {
 			continue
 		}
-		if !reported.hadBegun(g) && t.isCausedByOther(g, c, reported) {
+		if !report.hadBegun(g) && t.isCausedByOther(g, &c.Crash, &report) {
 			continue
 		}
 		if g.onTrial || !now.Before(g.TrialFrom) {
@@ -166,20 +165,20 @@
 }
 
 // isExplainedBy reports whether a request of a group ran when the upstream crashed.
-func (c *crash) isExplainedBy(g *Group) bool {
+func (c *Crash) isExplainedBy(g *Group) bool {
 	return slices.ContainsFunc(c.Runs, func(r Run) bool { return r.holds(g.Parts) })
 }
 
 // hadBegun reports whether the answer to a request of a group had begun when the upstream crashed.
-func (c *crash) hadBegun(g *Group) bool {
+func (c *Crash) hadBegun(g *Group) bool {
 	return slices.ContainsFunc(c.Runs, func(r Run) bool { return r.Began && r.holds(g.Parts) })
 }
 
 // isCausedByOther reports whether, according to some reports of a crash, the answer to a request of a
 // group other than g had begun.
-func (t *Tracker) isCausedByOther(g *Group, reports ...*crash) bool {
+func (t *Tracker) isCausedByOther(g *Group, reports ...*Crash) bool {
 	return slices.ContainsFunc(t.groups, func(other *Group) bool {
-		return other != g && slices.ContainsFunc(reports, func(c *crash) bool { return c.hadBegun(other) })
+		return other != g && slices.ContainsFunc(reports, func(c *Crash) bool { return c.hadBegun(other) })
 	})
 }
 
--- a/pkg/crashcause/crashcause_test.go
+++ b/pkg/crashcause/crashcause_test.go
@@ -197,7 +197,7 @@
 		}
 	}
 	// Another VM that has not heard of it does not bring the refusal back.
-	is.Equal(len(tracker.Adopt(now, crashcause.Group{Parts: parts, Crashes: 3, LastCrash: began.Add(-time.Second)})), 2)
+	is.Equal(len(tracker.Adopt(crashcause.Group{Parts: parts, Crashes: 3, LastCrash: began.Add(-time.Second)})), 2)
 	is.True(!refuses(tracker, parts...))
 }
 
--- a/pkg/crashcause/fleet_test.go
+++ b/pkg/crashcause/fleet_test.go
@@ -256,7 +256,7 @@
 	}
 	if peer := s.vms[s.random.IntN(len(s.vms))]; peer != vm { // one of the state messages
 		for _, g := range peer.tracker.Groups() {
-			for _, p := range vm.tracker.Adopt(s.clock(), g) {
+			for _, p := range vm.tracker.Adopt(g) {
 				vm.stale[p] = true
 				s.addSound(vm, p)
 			}
--- a/pkg/crashcause/group.go
+++ b/pkg/crashcause/group.go
@@ -68,7 +68,7 @@
 
 // Adopt takes over a group that another VM refuses, or that was stored. It returns the parts of it
 // that this tracker has cleared since.
-func (t *Tracker) Adopt(now time.Time, other Group) (cleared []Part) {
+func (t *Tracker) Adopt(other Group) (cleared []Part) {
 	var parts []Part
 	for _, p := range other.Parts[:min(len(other.Parts), maxGroupParts)] {
 		if s := t.suspects[p]; s != nil && s.clearedAt.After(other.LastCrash) {
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -78,6 +79,7 @@
 	if c.trial != nil && !c.broken {
 		return 0, false
 	}
+	c.gateway.stats.Count("crashing_refused")
 	return max(group.TrialFrom.Sub(now), minCrashRetryAfter), true
 }
 
@@ -198,7 +200,7 @@
 // their parts are sound, the other one has missed that message.
 func (c *control) adoptCrashGroups(now time.Time, groups []peering.CrashGroup) {
 	for _, g := range groups {
-		cleared := c.crashes.Adopt(now, crashcause.Group{Parts: g.Parts, Crashes: g.Crashes, FailedTrials: g.FailedTrials, LastCrash: now.Add(-g.LastCrashAgo)})
+		cleared := c.crashes.Adopt(crashcause.Group{Parts: g.Parts, Crashes: g.Crashes, FailedTrials: g.FailedTrials, LastCrash: now.Add(-g.LastCrashAgo)})
 		for _, p := range cleared {
 			c.staleGroupParts[p] = true
 		}
@@ -208,20 +210,35 @@
 	}
 }
 
-// refuseCrashing refuses a request that crashes upstreams, and reports whether it did. A request
-// that may have run fails instead.
+// errCrashesUpstreams means that a request gets no further run because requests like it crash
+// upstreams.
+var errCrashesUpstreams = errors.New("requests like this one crash upstreams")
+
+// refuseCrashing refuses a request that crashes upstreams, and reports whether it did.
 func (c *call) refuseCrashing() bool {
 	retryAfter, refused := c.crashesUpstreams()
-	if !refused {
-		return false
+	if refused {
+		c.answerCrashing(c.possibleRuns > 0, retryAfter)
 	}
-	c.gateway.stats.Count("crashing_refused")
-	if c.possibleRuns > 0 {
-		c.fail(result.New(result.Quarantined, result.OutcomeUnknown, "requests like this one crash upstreams"))
-		return true
+	return refused
+}
+
+// answerCrashing refuses a request that crashes upstreams. One that may have run fails instead.
+func (c *call) answerCrashing(mayHaveRun bool, retryAfter time.Duration) {
+	if mayHaveRun {
+		c.fail(result.New(result.Quarantined, result.OutcomeUnknown, "%v", errCrashesUpstreams))
+		return
 	}
 	c.refuse(result.Quarantined, retryAfter)
-	return true
+}
+
+// endCrashing ends a generation that gets no further run because requests like it crash engines.
+func (g *generation) endCrashing(retryAfter time.Duration) {
+	if g.headerSent {
+		g.abortStream(result.Quarantined, errCrashesUpstreams)
+		return
+	}
+	g.answerCrashing(g.unknownRuns > 0, retryAfter)
 }
 
 // trialSpacing is the least time between two requests that this VM lets through to find out whether
--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -17,7 +17,7 @@
 	c := &control{crashes: crashcause.NewTracker()}
 	const groups = 40
 	for i := range groups {
-		c.crashes.Adopt(now, crashcause.Group{Parts: []crashcause.Part{crashcause.Part(i + 1)}, Crashes: 3, LastCrash: now.Add(-time.Duration(i) * time.Second)})
+		c.crashes.Adopt(crashcause.Group{Parts: []crashcause.Part{crashcause.Part(i + 1)}, Crashes: 3, LastCrash: now.Add(-time.Duration(i) * time.Second)})
 	}
 	heard := make(map[crashcause.Part]bool)
 	for range 5 {
--- a/pkg/gateway/crashrecord.go
+++ b/pkg/gateway/crashrecord.go
@@ -82,7 +82,7 @@
 		g.control.post(func(now time.Time) {
 			for _, group := range groups {
 				group.LastCrash = now
-				g.control.crashes.Adopt(now, group) // nothing has been cleared yet
+				g.control.crashes.Adopt(group) // nothing has been cleared yet
 			}
 		})
 	}
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -211,23 +211,6 @@
 	}
 }
 
-// endCrashing ends a generation that gets no further run because requests like it crash engines.
-func (g *generation) endCrashing(retryAfter time.Duration) {
-	g.gateway.stats.Count("crashing_refused")
-	switch {
-	case g.headerSent:
-		g.abortStream(result.Quarantined, errCrashesUpstreams)
-	case g.unknownRuns > 0:
-		g.fail(result.New(result.Quarantined, result.OutcomeUnknown, "requests like this one crash upstreams"))
-	default:
-		g.refuse(result.Quarantined, retryAfter)
-	}
-}
-
-// errCrashesUpstreams means that a request gets no further run because requests like it crash
-// upstreams.
-var errCrashesUpstreams = errors.New("requests like this one crash upstreams")
-
 // finishAfterContextEnd ends a generation whose context ended. It closes the connection if the
 // caller has disconnected or the stream has started, and otherwise answers with an error.
 func (g *generation) finishAfterContextEnd(cause error) {
