Choice of an owner VM, minimum of a secret and readiness each in one place

Cause: found on reading the change. The gateway chose the VM that lets trials through by a rendezvous hash of its own beside the one of pkg/quarantine; the secret's minimum of 16 bytes stood in pkg/cli and pkg/config; readiness of the own front end combined two flags, although the second is only set after the first and the first stays set.

Change: fleet.Owner, config.MinSecretLen, and settingsInForce alone. The own front end's owners are unchanged; which VM of the gateway owns a trial differs from before, which nothing depends on except that all VMs agree.

Result: pkg/quarantine, pkg/cli, pkg/config pass; in pkg/entry the tests of readiness, crashing requests and engines down; in pkg/gateway those of the crashing part, the starting VM and the record.

--- a/pkg/cli/gateway.go
+++ b/pkg/cli/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cornelline/cornelline/pkg/config"
 	"github.com/cornelline/cornelline/pkg/event"
 	"github.com/cornelline/cornelline/pkg/gateway"
 	"github.com/cornelline/cornelline/pkg/result"
@@ -22,9 +23,6 @@
 	FleetSecret string `long:"fleet-secret" hidden:"true" env:"CORNELLINE_FLEET_SECRET"`
 }
 
-// minFleetSecret is the shortest secret that is accepted, in bytes.
-const minFleetSecret = 16
-
 // memoryLimitShare is the part of the platform's memory limit that is set as the memory
 // limit of the Go runtime, near which the garbage collector runs more often. The rest
 // is for stacks, kernel buffers and peaks.
@@ -40,8 +38,8 @@
 	if err != nil {
 		return result.New(result.ConfigInvalid, result.NotRun, "%v", err)
 	}
-	if c.FleetSecret != "" && len(c.FleetSecret) < minFleetSecret {
-		return result.New(result.ConfigInvalid, result.NotRun, "CORNELLINE_FLEET_SECRET has %d bytes: want %d or more", len(c.FleetSecret), minFleetSecret)
+	if c.FleetSecret != "" && len(c.FleetSecret) < config.MinSecretLen {
+		return result.New(result.ConfigInvalid, result.NotRun, "CORNELLINE_FLEET_SECRET has %d bytes: want %d or more", len(c.FleetSecret), config.MinSecretLen)
 	}
 	settings.FleetSecret = c.FleetSecret
 	if c.Check {
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -17,9 +17,9 @@
 	"github.com/cornelline/cornelline/pkg/result"
 )
 
-// minSecretLen is the minimum length of the fleet secret in bytes. A shorter secret
+// MinSecretLen is the minimum length of the fleet secret in bytes. A shorter secret
 // can be guessed offline from a recorded handshake.
-const minSecretLen = 16
+const MinSecretLen = 16
 
 // Config is the start configuration of an entry VM.
 type Config struct {
@@ -101,8 +101,8 @@
 	if err := c.checkAddresses(); err != nil {
 		return err
 	}
-	if len(c.FleetSecret) < minSecretLen {
-		return fmt.Errorf("fleet_secret: want at least %d bytes, got %d", minSecretLen, len(c.FleetSecret))
+	if len(c.FleetSecret) < MinSecretLen {
+		return fmt.Errorf("fleet_secret: want at least %d bytes, got %d", MinSecretLen, len(c.FleetSecret))
 	}
 	if hash, err := hex.DecodeString(c.OperatorKeyHash); err != nil || len(hash) != 32 {
 		return fmt.Errorf("operator_key_hash: want the SHA-256 of a key as 64 hexadecimal digits")
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -60,7 +60,7 @@
 }
 
 // ready reports whether current settings are in force on this VM.
-func (s *Server) ready() bool { return s.hasReadSettings() && s.settingsInForce.Load() }
+func (s *Server) ready() bool { return s.settingsInForce.Load() }
 
 // hasReadSettings reports whether this VM has read the current settings.
 func (s *Server) hasReadSettings() bool { return s.settings.View().Ready }
--- /dev/null
+++ b/pkg/fleet/owner.go
@@ -0,0 +1,19 @@
+package fleet
+
+import (
+	"iter"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owner returns the VM with the highest rendezvous hash for a key, so that VMs that know the same
+// VMs agree on one of them.
+func Owner(key string, vms iter.Seq[VMID]) VMID {
+	best, owner := uint64(0), VMID("")
+	for vm := range vms {
+		if h := xxhash.Sum64String(key + "\x00" + string(vm)); h >= best {
+			best, owner = h, vm
+		}
+	}
+	return owner
+}
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -276,17 +276,9 @@
 	return true
 }
 
-// ownsTrials reports whether this VM is the one that lets requests of a group through: the one with
-// the highest hash among the live ones.
+// ownsTrials reports whether this VM is the one that lets requests of a group through.
 func (g *Gateway) ownsTrials(group crashcause.Group) bool {
-	score := func(id fleet.VMID) uint64 {
-		return xxhash.Sum64String(fmt.Sprintf("%s %d", id, group.Parts[0]))
-	}
-	own := score(g.settings.Self.ID)
-	for id := range g.view.Load().peerAddresses {
-		if score(id) > own {
-			return false
-		}
-	}
-	return true
+	self := g.settings.Self.ID
+	vms := append(slices.Collect(maps.Keys(g.view.Load().peerAddresses)), self)
+	return fleet.Owner(strconv.FormatUint(uint64(group.Parts[0]), 16), slices.Values(vms)) == self
 }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -21,8 +21,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cornelline/cornelline/pkg/crashcause"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/result"
@@ -504,13 +502,5 @@
 	t.suspects = slices.DeleteFunc(t.suspects, func(o *suspect) bool { return o == s })
 }
 
-// ownerOf returns the VM with the highest rendezvous hash for the key.
-func (t *Tracker) ownerOf(key string) fleet.VMID {
-	best, owner := uint64(0), t.self
-	for _, vm := range t.vms {
-		if h := xxhash.Sum64String(key + "\x00" + string(vm)); h >= best {
-			best, owner = h, vm
-		}
-	}
-	return owner
-}
+// ownerOf returns the VM that decides for all about a key.
+func (t *Tracker) ownerOf(key string) fleet.VMID { return fleet.Owner(key, slices.Values(t.vms)) }
