Review cases 3 to 5: count the sound requests that crashes break

Cause: the records did not show what the crashes cost other callers. Change: sound requests run for 150 ms, and those that end without a known outcome are counted.

--- a/review/standin/crashable.go
+++ b/review/standin/crashable.go
@@ -13,6 +13,9 @@
 	"github.com/cornelline/cornelline/pkg/standin/userplatform"
 )
 
+// soundWork is how long a server works on a sound request.
+const soundWork = 150 * time.Millisecond
+
 // crashable is a server of the plain service that a request may crash. It comes back under a new
 // id at the same address.
 type crashable struct {
@@ -42,7 +45,7 @@
 
 // newCrashable starts a server.
 func newCrashable(w *world, name, zone string) (*crashable, error) {
-	s := &crashable{w: w, name: name, zone: zone, address: "127.0.0.1:0", work: 5 * time.Millisecond, down: 3 * time.Second, conns: map[net.Conn]bool{}}
+	s := &crashable{w: w, name: name, zone: zone, address: "127.0.0.1:0", work: soundWork, down: 3 * time.Second, conns: map[net.Conn]bool{}}
 	return s, s.start()
 }
 
--- a/review/standin/crashingrequest.go
+++ b/review/standin/crashingrequest.go
@@ -69,8 +69,8 @@
 	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	var served, sent int
-	for i := range 3 { // sound traffic
+	var served, sent, lost int
+	for i := range 12 { // sound traffic
 		clients.Go(func() {
 			c := newClient()
 			for n := 0; ; n++ {
@@ -86,6 +86,9 @@
 				if a.status == 200 && a.complete {
 					served++
 				}
+				if a.isLost() {
+					lost++
+				}
 				mu.Unlock()
 			}
 		})
@@ -120,7 +123,7 @@
 			attempts[a.id] = true
 		}
 	}
-	text := fmt.Sprintf("%d crashes, %d arrivals; later than %v after the third crash: %d arrivals, in %d retries of clients (3 are allowed); %d of %d other requests served", len(crashes), len(arrivals), settleWindow, late, len(attempts), served, sent)
+	text := fmt.Sprintf("%d crashes, %d arrivals; later than %v after the third crash: %d arrivals, in %d retries of clients (3 are allowed); of %d other requests %d were served and %d lost after they had run", len(crashes), len(arrivals), settleWindow, late, len(attempts), sent, served, lost)
 	if late > 3 && len(attempts) > 3 {
 		return broken, text
 	}
--- a/review/standin/forgotten.go
+++ b/review/standin/forgotten.go
@@ -35,6 +35,7 @@
 	var mu sync.Mutex
 	var crashes []time.Time
 	var arrivals []arrival
+	lost := 0
 	for i := range serversOfShop {
 		s, err := newCrashable(w, fmt.Sprintf("s%d", i), zones[i%len(zones)])
 		if err != nil {
@@ -64,7 +65,7 @@
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for range 3 { // sound traffic
+	for range 12 { // sound traffic
 		clients.Go(func() {
 			d := &directoryClient{w: w, patience: 1, http: newClient()}
 			for n := 0; ; n++ {
@@ -75,7 +76,11 @@
 				}
 				if address := d.address(); address != "" {
 					kind := []string{"look", "book"}[n%2]
-					w.send(d.http, address, w.nextID(kind), kind, "", 2*time.Second)
+					if a := w.send(d.http, address, w.nextID(kind), kind, "", 2*time.Second); a.isLost() {
+						mu.Lock()
+						lost++
+						mu.Unlock()
+					}
 				}
 			}
 		})
@@ -121,7 +126,7 @@
 			rec.log("%s reached a server %.1f s after the third crash", a.id, a.at.Sub(crashes[2]).Seconds())
 		}
 	}
-	text := fmt.Sprintf("%d crashes, %d arrivals, %d of them later than %v after the third crash, by machines in touch (3 are allowed)", len(crashes), len(arrivals), late, settleWindow)
+	text := fmt.Sprintf("%d crashes, %d arrivals, %d of them later than %v after the third crash, by machines in touch (3 are allowed); %d other requests lost after they had run", len(crashes), len(arrivals), late, settleWindow, lost)
 	if late > 3 {
 		return broken, text
 	}
--- a/review/standin/latepart.go
+++ b/review/standin/latepart.go
@@ -89,7 +89,7 @@
 	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	served, sent := 0, 0
+	served, sent, lost := 0, 0, 0
 	for i := range 4 {
 		clients.Go(func() {
 			c := newClient()
@@ -106,6 +106,9 @@
 				if a.status == http.StatusOK && a.complete {
 					served++
 				}
+				if a.isLost() {
+					lost++
+				}
 				mu.Unlock()
 			}
 		})
@@ -133,7 +136,7 @@
 			late++
 		}
 	}
-	text := fmt.Sprintf("%d crashes, %d arrivals of requests with the part, %d of them later than %v after the fifth crash (3 are allowed); %d of %d other requests served", len(crashes), len(arrivals), late, settleWindow, served, sent)
+	text := fmt.Sprintf("%d crashes, %d arrivals of requests with the part, %d of them later than %v after the fifth crash (3 are allowed); of %d other requests %d were served and %d lost after they had begun", len(crashes), len(arrivals), late, settleWindow, sent, served, lost)
 	if late > 3 {
 		return broken, text
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -284,6 +284,12 @@
 	took     time.Duration
 }
 
+// isLost reports whether the request was taken and lost: the answer says that the outcome is not
+// known, or broke off.
+func (a *reply) isLost() bool {
+	return a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout || a.status == http.StatusOK && !a.complete
+}
+
 // newClient returns a client that keeps connections, as callers do.
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
