--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,8 +16,10 @@
 var cases = map[string]func(rec *record, trouble bool) error{
 	"configuration-reverts": configurationReverts,
 	"foreign-entries":       foreignEntries,
+	"incomplete-entry":      incompleteEntry,
 	"odd-token-counts":      oddTokenCounts,
 	"requests-without-id":   requestsWithoutID,
+	"too-long-prompts":      tooLongPrompts,
 }
 
 func main() {
