Answers that a reset cuts off during an upload are broken, not whole

Callers saw: a part of an answer as a complete 200, and a stream that ended after an event as a complete one. A server had answered a long upload with neither a length nor chunks, and reset the connection while the request was still being written.

Cause: the kernel reports a reset to one system call. If that is the write of the request, the read beside it gets the plain end of the stream. Response.Body took it for the end of the answer; the error of the write was only asked for before the connection went back to the pool.

Change: a connection of internal/answer combines what its read and its write report. An answer that ends with its connection is whole only if the request has been written without an error; a read at its end waits for that. An answer whose end is marked, or a refusal that its head states, counts as before. standin.BrokenAnswer sends such answers, standin.DialReportingToWrite makes certain which side the kernel tells.

Why it works: one of the two sides always gets the reset, and both are asked before an answer without a marked end counts.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cornelline/cornelline/internal/answer"
 	"github.com/cornelline/cornelline/pkg/internal/httpcall"
 )
 
@@ -91,7 +92,7 @@
 
 // conn is a connection to an upstream. It serves one exchange at a time.
 type conn struct {
-	net.Conn
+	*answer.Conn
 	address string
 	source  *boundedReader
 	reader  *bufio.Reader // of source
@@ -100,8 +101,9 @@
 }
 
 func newConn(nc net.Conn, address string) *conn {
-	source := &boundedReader{conn: nc}
-	return &conn{Conn: nc, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}
+	c := answer.NewConn(nc)
+	source := &boundedReader{conn: c}
+	return &conn{Conn: c, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}
 }
 
 // boundedReader reads from a connection. While bounded is set, reads fail once the
@@ -163,11 +165,11 @@
 	Header http.Header
 	// Length is the length of the body, -1 if the response does not state it.
 	Length int64
-	// Body returns io.EOF only at the end of the complete body, as far as the framing
-	// allows to tell.
+	// Body returns io.EOF only at the end of the complete body. If the body ends with the
+	// connection, a read at its end also waits until the request has been written.
 	Body io.Reader
-	// Framed is set if the end of the body is marked by a content length or by
-	// chunked encoding, and not only by the end of the connection.
+	// Framed is set if the end of the body is marked by more than the end of the
+	// connection, such as a content length or chunked encoding.
 	Framed bool
 	// Reused is set if the connection has served an earlier request.
 	Reused bool
@@ -176,7 +178,6 @@
 	conn              *conn
 	resp              *http.Response
 	body              *eofRecorder
-	writing           *writeResult
 	stopCloseOnCancel func() bool
 	closed            bool
 }
@@ -203,7 +204,7 @@
 		return nil, &Error{Err: fmt.Errorf("%w to %s: %w", ErrConnect, r.Address, err)}
 	}
 	stopCloseOnCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
-	writing := c.write(r)
+	c.write(r)
 	resp, err := p.readResponse(c, r)
 	if err != nil {
 		stopCloseOnCancel()
@@ -213,11 +214,14 @@
 		}
 		return nil, &Error{Sent: true, Err: fmt.Errorf("exchange with %s: %w", r.Address, err)}
 	}
+	framed := answer.IsDelimited(resp)
+	if !framed {
+		c.EndsAnswer()
+	}
 	body := &eofRecorder{Reader: resp.Body}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body, Reused: c.reused,
-		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		pool:   p, conn: c, resp: resp, body: body, writing: writing, stopCloseOnCancel: stopCloseOnCancel,
+		Framed: framed, pool: p, conn: c, resp: resp, body: body, stopCloseOnCancel: stopCloseOnCancel,
 	}, nil
 }
 
@@ -239,7 +243,7 @@
 	}
 	r.closed = true
 	cancelled := !r.stopCloseOnCancel()
-	if cancelled || !r.body.reachedEOF || !r.Framed || r.resp.Close || !r.writing.succeeded() || r.conn.reader.Buffered() > 0 {
+	if cancelled || !r.body.reachedEOF || !r.Framed || r.resp.Close || !r.conn.RequestWritten() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
@@ -367,7 +371,7 @@
 // isReusable reports whether an idle connection is still open and has no unread
 // bytes.
 func (c *conn) isReusable() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -385,22 +389,6 @@
 	return err == nil && reusable
 }
 
-// writeResult is the result of writing a request.
-type writeResult struct {
-	ended chan struct{} // closed when the write has ended
-	err   error         // valid after ended is closed
-}
-
-// succeeded reports whether the whole request has been written. It does not block.
-func (w *writeResult) succeeded() bool {
-	select {
-	case <-w.ended:
-		return w.err == nil
-	default:
-		return false
-	}
-}
-
 // maxInlineBody is the largest body that is written before the response is read.
 // It fits into the socket's buffer. A larger body is written concurrently with
 // reading, because an upstream may respond before it has read the body.
@@ -408,13 +396,13 @@
 
 // write sends the request. A large body may still be in transmission when it
 // returns.
-func (c *conn) write(r Request) *writeResult {
-	w := &writeResult{ended: make(chan struct{})}
+func (c *conn) write(r Request) {
+	c.BeginRequest()
 	send := func() {
-		defer close(w.ended)
 		// WriteTo consumes the list, so that the caller's must be copied.
 		buffers := append(net.Buffers{r.Head}, r.Body...)
-		_, w.err = buffers.WriteTo(c.Conn)
+		_, err := buffers.WriteTo(c.NetConn())
+		c.EndRequest(err)
 	}
 	length := 0
 	for _, segment := range r.Body {
@@ -425,7 +413,6 @@
 	} else {
 		go send()
 	}
-	return w
 }
 
 // readResponse reads the head of the response to the request. Informational (1xx)
@@ -448,8 +435,7 @@
 			return resp, nil
 		}
 		foreign++
-		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		if foreign > maxForeignResponses || !framed || resp.Close || resp.ContentLength > maxForeignBytes {
+		if foreign > maxForeignResponses || !answer.IsDelimited(resp) || resp.Close || resp.ContentLength > maxForeignBytes {
 			return nil, ErrForeignResponse
 		}
 		if err := c.discard(resp.Body); err != nil {
--- a/pkg/gateway/oddstatus_test.go
+++ b/pkg/gateway/oddstatus_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/standin"
 )
 
 // TestAnswerWithStatus000IsAFailure guards against giving a caller the head of a server in trouble whose
@@ -17,11 +19,12 @@
 	d.store.Put("keyed.op", "config", config(1, 5000, "k"))
 	d.start()
 	d.eventually("served", func() bool { return d.sendRequest(http.MethodGet, "/look/1", "l", "k", "").status == http.StatusOK })
-	d.plain[0].SetFault("status 000")
+	broken := &standin.BrokenAnswer{Status: "000 Trouble", Fields: []string{"Content-Length: 2"}, Body: "no", End: standin.EndClose}
+	d.plain[0].SetBroken(broken)
 	for _, id := range []string{"a", "b", "c", "d", "e", "f"} { // whichever server is asked first
 		is.Equal(d.sendRequest(http.MethodGet, "/look/1", "look-"+id, "k", "").status, http.StatusOK)
 	}
-	d.plain[1].SetFault("status 000")
+	d.plain[1].SetBroken(broken)
 	for _, id := range []string{"a", "b", "c"} {
 		got := d.sendRequest(http.MethodPost, "/book/1", "book-"+id, "k", "x")
 		is.NoErr(got.err)
--- a/pkg/standin/userplatform/engine.go
+++ b/pkg/standin/userplatform/engine.go
@@ -251,6 +251,8 @@
 	Events int
 	// InsideEvent ends them in the middle of the next event.
 	InsideEvent bool
+	// Pause is the time between their last event and their end.
+	Pause time.Duration
 }
 
 // SetEnding sets how streams end.
@@ -283,6 +285,7 @@
 	if ending.InsideEvent {
 		fmt.Fprintf(conn, "id: %d\nda", last+ending.Events+1)
 	}
+	time.Sleep(ending.Pause)
 	return true
 }
 
--- a/pkg/standin/userplatform/operator.go
+++ b/pkg/standin/userplatform/operator.go
@@ -18,11 +18,17 @@
 	// another.
 	StreamAttempts int
 	Keys           []string
+	// BodyBytes is the largest body of a request, 0 for 1,000 bytes.
+	BodyBytes int
 }
 
 // Config returns the operator's configuration as JSON.
 func (o Operator) Config() []byte {
 	timeout := o.Timeout.Milliseconds()
+	bodyBytes := o.BodyBytes
+	if bodyBytes == 0 {
+		bodyBytes = 1000
+	}
 	data, _ := json.Marshal(map[string]any{
 		"version": o.Version,
 		"routes": []map[string]any{
@@ -38,7 +44,7 @@
 			}},
 			{"name": "shop", "health_path": "/health"},
 		},
-		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 1000, "header_ms": 3000, "idle_ms": 15000},
+		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": bodyBytes, "header_ms": 3000, "idle_ms": 15000},
 		"tenants": []map[string]any{{"name": "team", "keys": o.Keys}},
 	})
 	return data
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cornelline/cornelline/pkg/standin"
 )
 
 // Runs counts executed requests by request ID, over all servers that share it.
@@ -49,6 +51,8 @@
 	//   - "refuse": status 503 without that header, after the request ran
 	//   - "extra": the answer is followed by a second one, to another request
 	fault string
+	// broken is sent instead of an answer after the request ran; nil for none.
+	broken *standin.BrokenAnswer
 	Notice
 }
 
@@ -112,6 +116,13 @@
 	p.fault = fault
 }
 
+// SetBroken sets the answer that the server sends after a request ran; nil restores its own.
+func (p *PlainServer) SetBroken(broken *standin.BrokenAnswer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broken = broken
+}
+
 // ServeHTTP serves health checks and requests.
 func (p *PlainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Instance-Id", p.ID)
@@ -123,7 +134,7 @@
 		return
 	}
 	p.mu.Lock()
-	fault := p.fault
+	fault, broken := p.fault, p.broken
 	p.mu.Unlock()
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
@@ -140,6 +151,10 @@
 	}
 	p.Runs.Add(id)
 	w.Header().Set("Response-Signature", p.ID+"."+id)
+	if broken != nil {
+		broken.ServeHTTP(w, r)
+		return
+	}
 	switch fault {
 	case "reset":
 		panic(http.ErrAbortHandler)
@@ -147,9 +162,6 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	case "refuse":
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case "status 000":
-		writeStatus000(w, w.Header())
-		return
 	}
 	body, _ := io.ReadAll(r.Body)
 	text := PlainBody(r.Method, r.RequestURI, r.Header.Get("Tenant"), string(body))
@@ -160,19 +172,6 @@
 	_, _ = io.WriteString(w, text) // fails if the caller has disconnected
 }
 
-// writeStatus000 writes a whole answer with a status that HTTP does not have, and ends the connection.
-func writeStatus000(w http.ResponseWriter, header http.Header) {
-	c, buffer, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err)
-	}
-	defer c.Close()
-	_, _ = buffer.WriteString("HTTP/1.1 000 Trouble\r\n") // fails if the caller has disconnected
-	_ = header.Write(buffer)
-	_, _ = buffer.WriteString("Content-Length: 2\r\n\r\nno")
-	_ = buffer.Flush()
-}
-
 // answerTwice writes a complete answer, followed by one to another request that no caller
 // is waiting for.
 func (p *PlainServer) answerTwice(w http.ResponseWriter, id, text string) {
