Own front end, platform's clients, commands: a reset during an upload breaks the answer

Callers saw: through the own interface, a part of an answer as a complete 200; operators, a change as made that its VM had not read. A VM took an append as done whose record the store had not read.

Besides, that client closes the connection as soon as a write fails and so loses an answer that has arrived as a whole, or a refusal.

The failure of a write reaches net/http only when the read has ended too.

Why it works: a read at the end of such an answer asks for the result of the write, which is known by then or waited for.

--- a/pkg/cli/client.go
+++ b/pkg/cli/client.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"github.com/cornelline/cornelline/internal/answer"
 	"github.com/cornelline/cornelline/pkg/chat"
 	"github.com/cornelline/cornelline/pkg/result"
 )
@@ -18,6 +19,9 @@
 // the daemon waits for the log in a settings change.
 const callTimeout = 15 * time.Second
 
+// transport sends the requests of all commands.
+var transport = answer.NewTransport(http.DefaultTransport.(*http.Transport))
+
 // unknownOutcomeError is a failure of a change that may or may not have taken effect.
 type unknownOutcomeError struct{ err error }
 
@@ -51,7 +55,7 @@
 	if c.sharedOptions.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+c.sharedOptions.Key)
 	}
-	client := http.Client{Timeout: callTimeout}
+	client := http.Client{Timeout: callTimeout, Transport: transport}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, wrapError(fmt.Errorf("entry VM %s: %w", c.sharedOptions.Address, err))
--- a/pkg/internal/httpcall/httpcall.go
+++ b/pkg/internal/httpcall/httpcall.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/cornelline/cornelline/internal/answer"
 )
 
 // maxIdleConnections is the maximum number of idle connections kept for a peer. With
@@ -58,12 +60,10 @@
 		if pooledTransport.MaxIdleConnsPerHost == 0 {
 			pooledTransport.MaxIdleConnsPerHost = maxIdleConnections
 		}
-		// A compressor would buffer the events of a stream and delay them.
-		pooledTransport.DisableCompression = true
-		pooled.Transport = rewrap(pooledTransport)
+		pooled.Transport = rewrap(answer.NewTransport(pooledTransport))
 		freshTransport := pooledTransport.Clone()
 		freshTransport.DisableKeepAlives = true
-		fresh.Transport = rewrap(freshTransport)
+		fresh.Transport = rewrap(answer.NewTransport(freshTransport))
 	}
 	return &Caller{base: strings.TrimSuffix(base, "/"), pooled: pooled, fresh: fresh}
 }
--- a/pkg/standin/faults.go
+++ b/pkg/standin/faults.go
@@ -55,6 +55,8 @@
 	LoseAnswers bool `json:"lose_answers,omitempty"`
 	// Outage refuses each call with status 503 before it takes effect.
 	Outage bool `json:"outage,omitempty"`
+	// Broken is sent instead of each answer of a service, after the call ran.
+	Broken *BrokenAnswer `json:"broken,omitempty"`
 	// Leaving announces a planned shutdown in the engine's state.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -86,6 +86,12 @@
 // serveCall runs one call and answers it, subject to the faults.
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
 	f := s.Faults()
+	if f.Broken != nil {
+		own, _ := s.recordRun(r, nil)
+		w.Header().Set(upstream.HeaderRequestID, own.requestID)
+		f.Broken.ServeHTTP(w, r)
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxServiceBody))
 	if err != nil {
 		return
--- /dev/null
+++ b/pkg/upstream/brokenanswer_test.go
@@ -0,0 +1,167 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/standin"
+	"github.com/cornelline/cornelline/pkg/upstream"
+)
+
+// brokenUpstream starts a server that sends the same answer to each request and returns its address.
+func brokenUpstream(t *testing.T, a standin.BrokenAnswer) string {
+	t.Helper()
+	s := httptest.NewServer(&a)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// longUpload does not fit into the buffers of a connection whose other end does not read.
+var longUpload = bytes.Repeat([]byte("x"), 8<<20)
+
+// dials holds the ways in which a reset is reported.
+var dials = map[string]func(ctx context.Context, network, address string) (net.Conn, error){
+	"reset reported as the kernel does": nil,
+	"reset reported to the write":       standin.DialReportingToWrite(false),
+	"reset reported to the write late":  standin.DialReportingToWrite(true),
+}
+
+// clientOf returns a client that dials with the function, or as usual if it is nil.
+func clientOf(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4}}
+}
+
+// callService calls a service that answers with the ID r1.
+func callService(t *testing.T, client *http.Client, address, key string, body []byte) (upstream.ServiceResponse, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	service := upstream.NewHTTPService("s1", address, "/bookings", client)
+	return service.Call(ctx, upstream.ServiceRequest{RequestID: "r1", Route: "bookings", Key: key, Body: body})
+}
+
+const requestIDField = upstream.HeaderRequestID + ": r1"
+
+// TestResetDuringUploadBreaksServiceAnswer guards against giving a caller a part of an answer for the
+// whole one: its end is that of the connection, and the connection was reset while the request was
+// written.
+func TestResetDuringUploadBreaksServiceAnswer(t *testing.T) {
+	for name, dial := range dials {
+		for _, key := range []string{"", "k1"} {
+			t.Run(fmt.Sprintf("%s, key %q", name, key), func(t *testing.T) {
+				for _, after := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+					address := brokenUpstream(t, standin.BrokenAnswer{
+						Status: "200 OK", Fields: []string{requestIDField}, Body: "part", Early: true, End: standin.EndReset, EndAfter: standin.Duration(after),
+					})
+					for range 10 {
+						answer, err := callService(t, clientOf(dial), address, key, longUpload)
+						var failure *upstream.Error
+						if !errors.As(err, &failure) || !failure.Sent || errors.Is(err, context.DeadlineExceeded) {
+							t.Fatalf("reset after %s: %q, %v; want a failure at once of a call that may have run", after, answer.Body, err)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestEarlyServiceAnswerWithMarkedEndIsWhole guards against losing an answer that came as a whole before
+// the connection was reset, and the promise of a refusal.
+func TestEarlyServiceAnswerWithMarkedEndIsWhole(t *testing.T) {
+	for name, dial := range dials {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, whole := range []standin.BrokenAnswer{
+				{Status: "200 OK", Fields: []string{requestIDField, "Content-Length: 5"}, Body: "whole"},
+				{Status: "413 Content Too Large", Fields: []string{requestIDField, "Transfer-Encoding: chunked"}, Body: "5\r\nwhole\r\n0\r\n\r\n"},
+			} {
+				whole.Early, whole.End = true, standin.EndReset
+				address := brokenUpstream(t, whole)
+				for range 5 {
+					answer, err := callService(t, clientOf(dial), address, "", longUpload)
+					is.NoErr(err)
+					is.Equal(string(answer.Body), "whole")
+				}
+			}
+			refusal := brokenUpstream(t, standin.BrokenAnswer{Status: "429 Too Many Requests", Body: "part", Early: true, End: standin.EndReset})
+			for range 5 {
+				_, err := callService(t, clientOf(dial), refusal, "", longUpload)
+				var failure *upstream.Error
+				is.True(errors.As(err, &failure))
+				is.True(errors.Is(err, upstream.ErrRefused))
+				is.True(!failure.Sent)
+			}
+		})
+	}
+}
+
+// TestServiceAnswerWithoutLengthAfterUploadIsWhole guards against refusing an answer that ends with its
+// connection after the request was taken, also if the answer ended first.
+func TestServiceAnswerWithoutLengthAfterUploadIsWhole(t *testing.T) {
+	for _, size := range []int{0, 17 << 10, len(longUpload)} {
+		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
+			is := is.New(t)
+			for _, whole := range []standin.BrokenAnswer{{End: standin.EndClose}, {Early: true, End: standin.EndReadOn}} {
+				whole.Status, whole.Fields, whole.Body = "200 OK", []string{requestIDField}, "whole"
+				address := brokenUpstream(t, whole)
+				for range 5 {
+					answer, err := callService(t, clientOf(nil), address, "", longUpload[:size])
+					is.NoErr(err)
+					is.Equal(string(answer.Body), "whole")
+				}
+			}
+		})
+	}
+}
+
+// TestConnectionOfCutOffRequestIsNotReused guards against sending a request over a connection that was
+// reset during the one before.
+func TestConnectionOfCutOffRequestIsNotReused(t *testing.T) {
+	is := is.New(t)
+	var opened int
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened++
+		return standin.DialReportingToWrite(false)(ctx, network, address)
+	}
+	address := brokenUpstream(t, standin.BrokenAnswer{
+		Status: "200 OK", Fields: []string{requestIDField, "Content-Length: 5"}, Body: "whole", Early: true, End: standin.EndReset,
+	})
+	service := upstream.NewHTTPService("s1", address, "/bookings", clientOf(dial))
+	for range 5 {
+		_, err := service.Call(t.Context(), upstream.ServiceRequest{RequestID: "r1", Route: "bookings", Body: longUpload})
+		is.NoErr(err)
+	}
+	is.Equal(opened, 5)
+}
+
+// TestResetDuringUploadBreaksGeneration guards against taking a stream for complete whose connection was
+// reset between two events.
+func TestResetDuringUploadBreaksGeneration(t *testing.T) {
+	for name, dial := range dials {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := brokenUpstream(t, standin.BrokenAnswer{Status: "200 OK", Body: `{"event":{"index":0}}` + "\n", Early: true, End: standin.EndReset})
+			engine := upstream.NewHTTPEngine("e1", address, clientOf(dial))
+			stream, err := engine.Generate(t.Context(), upstream.GenerateRequest{Session: "s1", Tokens: make([]fleet.Token, 4<<20)})
+			is.NoErr(err)
+			defer stream.Close()
+			_, err = stream.Next(t.Context())
+			is.NoErr(err)
+			_, err = stream.Next(t.Context())
+			var failure *upstream.Error
+			is.True(errors.As(err, &failure))
+			is.True(failure.Sent)
+		})
+	}
+}
