Heads with a status that HTTP does not have: platform's clients, commands; no switch of protocols

Cause: each reader checked heads by itself; platform/servers.go, platform/store.go and pkg/cli did not, and the check of pkg/internal/httpcall let 101 pass.

Change: answer.CheckHead is the only check. pkg/exchange calls it, and answer.Transport for all others.

Evidence: without the change TestHeadThatIsNoAnswerLeavesOutcomeOpen fails for all five statuses ("refused != unknown"), TestExitCodes for status 000 (exit codes 0, want 4 and 1), TestServiceAnswerWithoutAStatusOfHTTP for 101; pkg/exchange failed on 101 already, but only when the connection ended. The gateway's callers: TestAnswerWithStatus000IsAFailure passed before.

Why it works: no reader gets a response whose head has not been checked; the error says that the request may have run.

--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper whose responses are whole: their body ends with io.EOF only if
-// they are.
+// Transport is an http.RoundTripper that refuses heads that are not of HTTP/1.x, and whose bodies end
+// with io.EOF only if the answer is whole.
 type Transport struct{ base http.RoundTripper }
 
 // NewTransport returns a Transport over a copy of base that asks for no compressed bodies: their
@@ -29,9 +29,13 @@
 		}
 		return NewConn(c), nil
 	}
-	return &Transport{base: t}
+	return Wrap(t)
 }
 
+// Wrap returns a Transport over a RoundTripper that opens its connections itself. Their read and
+// their write are not combined.
+func Wrap(base http.RoundTripper) *Transport { return &Transport{base: base} }
+
 // RoundTrip sends a request and returns its response.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var current atomic.Pointer[Conn]
@@ -52,6 +56,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckHead(resp); err != nil {
+		_ = resp.Body.Close() // the error of the head is returned
+		return nil, err
+	}
 	if c := current.Load(); c != nil && !IsDelimited(resp) {
 		c.EndsAnswer()
 	}
--- a/pkg/cli/brokenanswer_test.go
+++ b/pkg/cli/brokenanswer_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -28,3 +29,9 @@
 		is.Equal(got, ExitUnknown)
 	}
 }
+
+// sendBroken returns a handler that sends an answer whose head is given by its status and further fields.
+func sendBroken(status string, fields ...string) http.HandlerFunc {
+	broken := standin.BrokenAnswer{Status: status, Fields: append(fields, "Content-Length: 2"), Body: "{}", End: standin.EndClose}
+	return broken.ServeHTTP
+}
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -67,6 +67,9 @@
 		{"set cut off", set, truncateBody, ExitUnknown},
 		{"set answered by a proxy", set, respond(502, "bad gateway"), ExitUnknown},
 		{"drain dropped", "drain", dropConnection, ExitUnknown},
+		{"set answered with status 000", set, sendBroken("000 Trouble"), ExitUnknown},
+		{"set answered with status 999", set, sendBroken("999 Odd"), ExitUnknown},
+		{"get answered with status 000", "settings get team/t", sendBroken("000 Trouble"), ExitFailed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/cornelline/cornelline/internal/answer"
-	"github.com/cornelline/cornelline/pkg/internal/httpcall"
 )
 
 // Errors of an exchange.
@@ -33,9 +32,9 @@
 	// ErrHeadTooLarge reports that the heads before the response's body exceed
 	// maxHeadBytes.
 	ErrHeadTooLarge = errors.New("response head is too large")
-	// ErrNotAnAnswer reports a head with a status or a version that HTTP/1.x does not have. The
-	// upstream goes on, but does not work.
-	ErrNotAnAnswer = httpcall.ErrNotAnAnswer
+	// ErrNotAnAnswer reports a head that is not one of HTTP/1.x. The upstream goes on, but does
+	// not work.
+	ErrNotAnAnswer = answer.ErrNotAnAnswer
 )
 
 // Error is the error of a failed exchange. Sent is false only if no byte of the
@@ -425,8 +424,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if !httpcall.IsAnswer(resp) {
-			return nil, fmt.Errorf("%w: %s %s", ErrNotAnAnswer, resp.Proto, resp.Status)
+		if err := answer.CheckHead(resp); err != nil {
+			return nil, err
 		}
 		if resp.StatusCode < 200 {
 			continue
--- a/pkg/exchange/status_test.go
+++ b/pkg/exchange/status_test.go
@@ -14,7 +14,7 @@
 // status or version HTTP/1.1 does not have.
 func TestHeadWithoutAStatusOfHTTPIsNoAnswer(t *testing.T) {
 	const rest = "\r\nId: a\r\nContent-Length: 1\r\n\r\nx"
-	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 000 OK", "HTTP/1.1 099 Odd", "HTTP/1.1 600 Odd", "HTTP/1.1 999 Odd", "HTTP/9.9 200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK"} {
+	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 000 OK", "HTTP/1.1 099 Odd", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 Odd", "HTTP/1.1 999 Odd", "HTTP/9.9 200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK"} {
 		t.Run(line, func(t *testing.T) {
 			is := is.New(t)
 			_, err := newPool().Do(context.Background(), request(upstream(t, line+rest), "a"))
--- a/pkg/internal/httpcall/httpcall.go
+++ b/pkg/internal/httpcall/httpcall.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -64,6 +63,9 @@
 		freshTransport := pooledTransport.Clone()
 		freshTransport.DisableKeepAlives = true
 		fresh.Transport = rewrap(answer.NewTransport(freshTransport))
+	} else {
+		pooled.Transport = rewrap(answer.Wrap(transport))
+		fresh.Transport = pooled.Transport
 	}
 	return &Caller{base: strings.TrimSuffix(base, "/"), pooled: pooled, fresh: fresh}
 }
@@ -105,10 +107,6 @@
 		client = c.fresh
 	}
 	resp, err = client.Do(req)
-	if err == nil && !IsAnswer(resp) {
-		_ = resp.Body.Close()
-		return nil, true, fmt.Errorf("%w: %s %s", ErrNotAnAnswer, resp.Proto, resp.Status)
-	}
 	if err == nil {
 		return resp, true, nil
 	}
@@ -118,18 +116,6 @@
 	return nil, !connRequested.Load() && !isDialError(err), err
 }
 
-// ErrNotAnAnswer reports a response whose head is not one of HTTP/1.x. The request may have run.
-var ErrNotAnAnswer = errors.New("not an answer of HTTP")
-
-// IsAnswer reports whether the head of a response has a version and a status that HTTP/1.x defines.
-// http.ReadResponse takes any digits for either.
-func IsAnswer(resp *http.Response) bool {
-	return resp.ProtoMajor == 1 && resp.StatusCode >= http.StatusContinue && resp.StatusCode <= maxStatus
-}
-
-// maxStatus is the largest status code of HTTP.
-const maxStatus = 599
-
 // isDialError reports whether the error came from establishing the connection.
 func isDialError(err error) bool {
 	var op *net.OpError
--- a/pkg/upstream/oddanswers_test.go
+++ b/pkg/upstream/oddanswers_test.go
@@ -52,7 +52,7 @@
 // TestServiceAnswerWithoutAStatusOfHTTP guards against giving a caller the answer of a server in trouble
 // whose status is 000, and against saying that the request did not run.
 func TestServiceAnswerWithoutAStatusOfHTTP(t *testing.T) {
-	for _, status := range []string{"000", "099", "600", "999"} {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
 		t.Run(status, func(t *testing.T) {
 			is := is.New(t)
 			address := oddServer(t, "HTTP/1.1 "+status+" Odd\r\n"+upstream.HeaderRequestID+": ID\r\nContent-Length: 2\r\n\r\n{}", "")
