Heads with a blank in a field name are no answers

Callers saw: the answer of a server in trouble as an answer, with a body that was not the server's ("Content-Length : 2" does not state a length to the reader) or without the line. A control byte in a name was refused already.

Cause: net/http's parser keeps field names with blanks, and no reader checked them.

Change: answer.CheckHead checks the field names of heads, also of interim ones, and answer.Body those behind the last chunk. All readers use both: pkg/exchange, and answer.Transport for the others.

Why it works: a name that is not a token of HTTP makes the head one of no answer, wherever it is read; the request may have run, and what can't be repeated isn't.

--- a/internal/answer/transport.go
+++ b/internal/answer/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 )
 
@@ -51,6 +52,7 @@
 				c.EndRequest(info.Err)
 			}
 		},
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return checkFieldNames(fields) },
 	}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
@@ -63,6 +65,7 @@
 	if c := current.Load(); c != nil && !IsDelimited(resp) {
 		c.EndsAnswer()
 	}
+	resp.Body = Body(resp)
 	return resp, nil
 }
 
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -69,6 +69,8 @@
 		{"drain dropped", "drain", dropConnection, ExitUnknown},
 		{"set answered with status 000", set, sendBroken("000 Trouble"), ExitUnknown},
 		{"set answered with status 999", set, sendBroken("999 Odd"), ExitUnknown},
+		{"set answered with a blank in a field name", set, sendBroken("200 OK", "X Y: 1"), ExitUnknown},
+		{"get answered with a control byte in a field name", "settings get team/t", sendBroken("200 OK", "X\x01Y: 1"), ExitFailed},
 		{"get answered with status 000", "settings get team/t", sendBroken("000 Trouble"), ExitFailed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/entry/brokenanswer_test.go
+++ b/pkg/entry/brokenanswer_test.go
@@ -96,3 +96,15 @@
 		is.Equal(string(a.body), "whole")
 	}
 }
+
+// TestFieldNamesAreAnUnknownOutcome guards against giving a caller the answer of a server in trouble
+// whose head holds a malformed field name, and against repeating the call for it.
+func TestFieldNamesAreAnUnknownOutcome(t *testing.T) {
+	addServiceRoute(t, "fields", false)
+	for _, field := range []string{"X Y: 1", "Content-Length : 2", "X\x01Y: 1"} {
+		t.Run(field, func(t *testing.T) {
+			breakServices(t, standin.BrokenAnswer{Status: "200 OK", Fields: []string{field}, Body: "whole", End: standin.EndClose})
+			checkBrokenCalls(t, "fields", []byte("{}"), 3)
+		})
+	}
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -217,7 +217,7 @@
 	if !framed {
 		c.EndsAnswer()
 	}
-	body := &eofRecorder{Reader: resp.Body}
+	body := &eofRecorder{Reader: answer.Body(resp)}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body, Reused: c.reused,
 		Framed: framed, pool: p, conn: c, resp: resp, body: body, stopCloseOnCancel: stopCloseOnCancel,
--- a/pkg/gateway/brokenanswer_test.go
+++ b/pkg/gateway/brokenanswer_test.go
@@ -151,3 +151,17 @@
 	is.True(got.err != nil)
 	is.Equal(d.runs.Count("both-broken"), 2)
 }
+
+// TestFieldNamesReachCallersAsFailure guards against giving a caller the answer of a server in trouble
+// whose head holds a malformed field name, and against repeating a booking for it.
+func TestFieldNamesReachCallersAsFailure(t *testing.T) {
+	t.Parallel()
+	for _, field := range []string{"X Y: 1", "X Response-Signature: 2", "Content-Length : 2", "X\x01Y: 1"} {
+		t.Run(field, func(t *testing.T) {
+			d := deployForUploads(t)
+			broken := &standin.BrokenAnswer{Status: "200 OK", Fields: []string{field}, Body: "whole", End: standin.EndClose}
+			checkLookupsElsewhere(t, d, broken, "x")
+			checkBrokenBookings(t, d, broken, "x", 4)
+		})
+	}
+}
--- a/pkg/upstream/brokenanswer_test.go
+++ b/pkg/upstream/brokenanswer_test.go
@@ -165,3 +165,31 @@
 		})
 	}
 }
+
+// TestFieldNamesOfServiceAnswers guards against giving a caller the answer of a server in trouble whose
+// head holds a malformed field name.
+func TestFieldNamesOfServiceAnswers(t *testing.T) {
+	const chunks = "Transfer-Encoding: chunked"
+	for name, broken := range map[string]standin.BrokenAnswer{
+		"blank":                      {Fields: []string{"X Y: 1", "Content-Length: 5"}, Body: "whole"},
+		"blank before the colon":     {Fields: []string{"X-Y : 1", "Content-Length: 5"}, Body: "whole"},
+		"blank in a length":          {Fields: []string{"Content-Length : 2"}, Body: "whole"},
+		"blank in a framing":         {Fields: []string{"Transfer-Encoding : chunked"}, Body: "5\r\nwhole\r\n0\r\n\r\n"},
+		"control byte":               {Fields: []string{"X\x01Y: 1", "Content-Length: 5"}, Body: "whole"},
+		"blank in a trailer":         {Fields: []string{chunks}, Body: "5\r\nwhole\r\n0\r\nX Y: 1\r\n\r\n"},
+		"blank in an interim answer": {Status: "103 Early Hints", Fields: []string{"X Y: 1"}, Body: "HTTP/1.1 200 OK\r\n" + requestIDField + "\r\nContent-Length: 5\r\n\r\nwhole"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if broken.Status == "" {
+				broken.Status = "200 OK"
+				broken.Fields = append(broken.Fields, requestIDField)
+			}
+			broken.End = standin.EndClose
+			answer, err := callService(t, clientOf(nil), brokenUpstream(t, broken), "", []byte("{}"))
+			var failure *upstream.Error
+			if !errors.As(err, &failure) || !failure.Sent {
+				t.Fatalf("%q, %v; want a failure of a call that may have run", answer.Body, err)
+			}
+		})
+	}
+}
