JSON answers that break off behind their value are broken

Callers saw: nothing directly; a VM of the own interface took records as appended, a range of offsets as the log's, a state as an engine's, although the answer had broken off behind its JSON value.

Cause: pkg/infra and pkg/upstream stopped to read at the end of the value. The length, the last chunk, or the reset that shows the break came after it.

Change: httpcall.DecodeJSON reads the body to its end first; both use it. More than the bound, or bytes behind the value, are an error.

Evidence: without the change TestAnswersThatBreakOffBehindTheirValue fails in all 32 cases (nil), TestRangeOfOffsetsThatBreaksOff (ErrTruncated) and TestResetDuringAppendToLogIsNoAnswer in its three orders (nil). All pass with it; TestAnswersWithoutEnd holds its bound of memory as before.

Why it works: only the end of the body, which the transport checks, shows that an answer is whole.

--- a/pkg/infra/http.go
+++ b/pkg/infra/http.go
@@ -182,7 +182,7 @@
 	default:
 		return failure
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(out); err != nil {
+	if err := httpcall.DecodeJSON(resp, out, maxBytes); err != nil {
 		return &Error{Sent: true, Status: resp.StatusCode, Kind: ErrUnavailable, Err: fmt.Errorf("decode response: %w", err)}
 	}
 	if failure != nil {
--- a/pkg/internal/httpcall/httpcall.go
+++ b/pkg/internal/httpcall/httpcall.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -116,6 +119,22 @@
 	return nil, !connRequested.Load() && !isDialError(err), err
 }
 
+// errTooLong reports a body that is longer than the caller reads.
+var errTooLong = errors.New("body is too long")
+
+// DecodeJSON decodes the body of a response, of at most maxBytes, into out. It reads the body to its
+// end, because the value alone does not show that the answer is whole.
+func DecodeJSON(resp *http.Response, out any, maxBytes int64) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > maxBytes {
+		return fmt.Errorf("%w: more than %d bytes", errTooLong, maxBytes)
+	}
+	return json.Unmarshal(data, out)
+}
+
 // isDialError reports whether the error came from establishing the connection.
 func isDialError(err error) bool {
 	var op *net.OpError
--- a/pkg/upstream/brokenanswer_test.go
+++ b/pkg/upstream/brokenanswer_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
+	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/standin"
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
@@ -193,3 +194,76 @@
 		})
 	}
 }
+
+// TestAnswersThatBreakOffBehindTheirValue guards against taking an answer for whole because the JSON value
+// at its beginning is: its length or its chunks say that more was to come.
+func TestAnswersThatBreakOffBehindTheirValue(t *testing.T) {
+	const value = `{"upstream":"e1","session":"s1","next_position":3,"first":7,"next":9,"bytes_per_second":5}`
+	for framing, broken := range map[string]standin.BrokenAnswer{
+		"length":           {Fields: []string{"Content-Length: 200"}, Body: value},
+		"chunk":            {Fields: []string{"Transfer-Encoding: chunked"}, Body: fmt.Sprintf("%x\r\n%s\r\n", len(value), value)},
+		"trailer":          {Fields: []string{"Transfer-Encoding: chunked"}, Body: fmt.Sprintf("%x\r\n%s\r\n0\r\nX Y: 1\r\n\r\n", len(value), value)},
+		"behind the value": {Fields: []string{fmt.Sprintf("Content-Length: %d", len(value)+2)}, Body: value + "{}"},
+	} {
+		broken.Status, broken.End = "200 OK", standin.EndClose
+		address := brokenUpstream(t, broken)
+		engine, log := upstream.NewHTTPEngine("e1", address, nil), infra.NewHTTPLog(address, nil)
+		for call, send := range map[string]func() error{
+			"state":        func() error { _, err := engine.State(t.Context()); return err },
+			"progress":     func() error { _, err := engine.Progress(t.Context(), "s1"); return err },
+			"cache events": func() error { _, err := engine.CacheEvents(t.Context(), 0); return err },
+			"KV import": func() error {
+				return engine.ImportFrom(t.Context(), upstream.KVSource{Session: "s1", Positions: 3})
+			},
+			"append": func() error { _, err := log.Append(t.Context(), "s", [][]byte{nil}); return err },
+			"read":   func() error { _, err := log.Read(t.Context(), "s", 0, 1); return err },
+			"rate":   func() error { _, err := infra.NewHTTPWeightStore(address, nil).Rate(t.Context()); return err },
+			"VMs":    func() error { _, err := infra.NewHTTPVMList(address, nil).List(t.Context()); return err },
+		} {
+			t.Run(framing+", "+call, func(t *testing.T) {
+				is := is.New(t)
+				err := send()
+				var engineFailure *upstream.Error
+				var platformFailure *infra.Error
+				switch {
+				case errors.As(err, &engineFailure):
+					is.True(engineFailure.Sent)
+				case errors.As(err, &platformFailure):
+					is.True(platformFailure.Sent)
+				default:
+					t.Fatalf("%v; want a failure of a call that may have had an effect", err)
+				}
+			})
+		}
+	}
+}
+
+// TestRangeOfOffsetsThatBreaksOff guards against taking the range of offsets that the log keeps from an
+// answer that broke off behind it.
+func TestRangeOfOffsetsThatBreaksOff(t *testing.T) {
+	is := is.New(t)
+	address := brokenUpstream(t, standin.BrokenAnswer{Status: "410 Gone", Fields: []string{"Content-Length: 200"}, Body: `{"first":7,"next":9}`, End: standin.EndClose})
+	_, err := infra.NewHTTPLog(address, nil).Read(t.Context(), "s", 0, 1)
+	is.True(err != nil)
+	is.True(!errors.Is(err, infra.ErrTruncated))
+}
+
+// TestResetDuringAppendToLogIsNoAnswer guards against taking records as appended when the answer has no
+// length and its connection is reset while they are sent.
+func TestResetDuringAppendToLogIsNoAnswer(t *testing.T) {
+	for name, dial := range dials {
+		t.Run(name, func(t *testing.T) {
+			address := brokenUpstream(t, standin.BrokenAnswer{
+				Status: "200 OK", Body: `{"first":7}`, Early: true, End: standin.EndReset, EndAfter: standin.Duration(5 * time.Millisecond),
+			})
+			log := infra.NewHTTPLog(address, clientOf(dial))
+			for range 10 {
+				_, err := log.Append(t.Context(), "s", [][]byte{longUpload})
+				var failure *infra.Error
+				if !errors.As(err, &failure) || !failure.Sent {
+					t.Fatalf("%v; want a failure of a call that may have had an effect", err)
+				}
+			}
+		})
+	}
+}
--- a/pkg/upstream/http_engine.go
+++ b/pkg/upstream/http_engine.go
@@ -181,7 +181,7 @@
 	if out == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBody))
 	} else {
-		err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBody)).Decode(out)
+		err = httpcall.DecodeJSON(resp, out, maxAnswerBody)
 	}
 	if err != nil {
 		return e.newError(true, resp.StatusCode, fmt.Errorf("read answer: %w", err))
