--- a/pkg/exchange/broken_test.go
+++ b/pkg/exchange/broken_test.go
@@ -6,26 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/cornelline/cornelline/internal/answer/answertest"
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/standin"
 )
 
-// brokenUpstream starts a server that sends the same answer to each request and returns its address.
-func brokenUpstream(t *testing.T, a standin.BrokenAnswer) string {
-	t.Helper()
-	s := httptest.NewServer(&a)
-	t.Cleanup(s.Close)
-	return s.Listener.Addr().String()
-}
-
 // longUpload does not fit into the buffers of a connection whose other end does not read.
 const longUpload = 16 << 20
 
@@ -35,11 +26,8 @@
 	return exchange.Request{Address: address, ID: "a", Method: http.MethodPost, Head: []byte(head), Body: [][]byte{bytes.Repeat([]byte("x"), size)}}
 }
 
-// poolOf returns a pool with the dial function, or that of the product if it is nil.
-func poolOf(dial func(ctx context.Context, network, address string) (net.Conn, error)) *exchange.Pool {
-	if dial == nil {
-		dial = exchange.Dialer(time.Second, time.Second, 0)
-	}
+// poolOf returns a pool with the dial function.
+func poolOf(dial answertest.DialFunc) *exchange.Pool {
 	return exchange.New(exchange.Config{
 		Dial: dial, IdleTimeout: time.Minute, MaxIdlePerAddress: 4, Now: time.Now,
 		IsResponseTo:         func(id string, _ bool, _ int, h http.Header) bool { return h.Get("Id") == id },
@@ -61,19 +49,13 @@
 	return string(body), err
 }
 
-var dials = map[string]func(ctx context.Context, network, address string) (net.Conn, error){
-	"reset reported as the kernel does": nil,
-	"reset reported to the write":       standin.DialReportingToWrite(false),
-	"reset reported to the write late":  standin.DialReportingToWrite(true),
-}
-
 // TestResetDuringUploadBreaksAnswerWithoutLength guards against taking a part of an answer for the whole
 // one: its end is that of the connection, and the connection was reset while the request was written.
 func TestResetDuringUploadBreaksAnswerWithoutLength(t *testing.T) {
-	for name, dial := range dials {
+	for name, dial := range answertest.ResetReports() {
 		t.Run(name, func(t *testing.T) {
 			for _, after := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
-				address := brokenUpstream(t, standin.BrokenAnswer{
+				address := answertest.Start(t, standin.BrokenAnswer{
 					Status: "200 OK", Fields: []string{"Id: a"}, Body: "part", Early: true, End: standin.EndReset, EndAfter: standin.Duration(after),
 				})
 				for range 10 {
@@ -100,7 +82,7 @@
 		"no body expected": {Status: "204 No Content", Fields: []string{"Id: a"}},
 	}
 	for framing, answer := range framings {
-		for name, dial := range dials {
+		for name, dial := range answertest.ResetReports() {
 			t.Run(framing+", "+name, func(t *testing.T) {
 				is := is.New(t)
 				want := "whole"
@@ -108,7 +90,7 @@
 					want = ""
 				}
 				answer.Early, answer.End = true, standin.EndReset
-				pool, address := poolOf(dial), brokenUpstream(t, answer)
+				pool, address := poolOf(dial), answertest.Start(t, answer)
 				for range 3 {
 					body, err := exchangeBody(t, pool, upload(address, longUpload))
 					is.NoErr(err)
@@ -123,10 +105,10 @@
 // TestEarlyRefusalIsReadFromItsHead guards against losing a refusal that has no length, as soon as its
 // connection is reset: its head says all that counts.
 func TestEarlyRefusalIsReadFromItsHead(t *testing.T) {
-	for name, dial := range dials {
+	for name, dial := range answertest.ResetReports() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address := brokenUpstream(t, standin.BrokenAnswer{
+			address := answertest.Start(t, standin.BrokenAnswer{
 				Status: "503 Service Unavailable", Fields: []string{"Id: a", "Not-Executed: 1"}, Body: "part", Early: true, End: standin.EndReset,
 			})
 			for range 10 {
@@ -153,9 +135,9 @@
 			t.Run(fmt.Sprintf("%s, %d bytes", name, size), func(t *testing.T) {
 				is := is.New(t)
 				answer.Status, answer.Fields, answer.Body = "200 OK", []string{"Id: a"}, "whole"
-				address := brokenUpstream(t, answer)
+				address := answertest.Start(t, answer)
 				for range 5 {
-					body, err := exchangeBody(t, poolOf(nil), upload(address, size))
+					body, err := exchangeBody(t, newPool(), upload(address, size))
 					is.NoErr(err)
 					is.Equal(body, "whole")
 				}
@@ -164,35 +146,39 @@
 	}
 }
 
-// TestUnfinishedUploadDoesNotDelayFailure guards against waiting for the rest of an upload when the
-// connection has ended inside the answer's head or its marked body.
-func TestUnfinishedUploadDoesNotDelayFailure(t *testing.T) {
-	for name, answer := range map[string]string{
-		"head":   "HTTP/1.1 200 OK\r\nId: a\r\n",
-		"length": "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart",
+// TestUnfinishedUploadAfterTheEnd guards against waiting for the rest of an upload when the connection has
+// ended inside the answer's head or its marked body, and against waiting for it beyond the deadline.
+func TestUnfinishedUploadAfterTheEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer   standin.BrokenAnswer
+		deadline bool
+	}{
+		"inside the head":   {standin.BrokenAnswer{Status: "200 OK", Fields: []string{"Id: a\r\nX"}}, false},
+		"inside the length": {standin.BrokenAnswer{Status: "200 OK", Fields: []string{"Id: a", "Content-Length: 9"}, Body: "part"}, false},
+		"inside a chunk":    {standin.BrokenAnswer{Status: "200 OK", Fields: []string{"Id: a", "Transfer-Encoding: chunked"}, Body: "9\r\npart"}, false},
+		"without a length":  {standin.BrokenAnswer{Status: "200 OK", Fields: []string{"Id: a"}, Body: "whole?"}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = l.Close() })
-			done := make(chan struct{})
-			t.Cleanup(func() { close(done) })
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer c.Close()
-				_, _ = io.WriteString(c, answer)
-				_ = c.(*net.TCPConn).CloseWrite() // and reads nothing
-				<-done
-			}()
-			_, err = exchangeBody(t, poolOf(nil), upload(l.Addr().String(), longUpload))
-			if err == nil || errors.Is(err, context.DeadlineExceeded) {
-				t.Fatalf("got %v, want a failure at once", err)
+			is := is.New(t)
+			c.answer.Early, c.answer.End, c.answer.EndAfter = true, standin.EndHold, standin.Duration(10*time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			response, err := newPool().Do(ctx, upload(answertest.Start(t, c.answer), longUpload))
+			if err == nil {
+				defer response.Close()
+				_, err = io.ReadAll(response.Body)
 			}
+			is.True(err != nil)
+			is.Equal(ctx.Err() != nil, c.deadline)
 		})
 	}
 }
+
+// TestTransferEncodingOfHTTP10 guards against giving a caller the chunks of an HTTP/1.0 answer as its
+// body. Such an answer has a faulty framing (RFC 9112, 6.1).
+func TestTransferEncodingOfHTTP10(t *testing.T) {
+	body, err := exchangeBody(t, newPool(), request(upstream(t, "HTTP/1.0 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"), "a"))
+	if err == nil {
+		t.Fatalf("taken for an answer, with the body %q", body)
+	}
+}
--- a/pkg/exchange/fieldname_test.go
+++ b/pkg/exchange/fieldname_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelline/cornelline/internal/answer/answertest"
 	"github.com/cornelline/cornelline/pkg/exchange"
 	"github.com/cornelline/cornelline/pkg/standin"
 )
@@ -22,7 +23,7 @@
 	check := func(t *testing.T, broken standin.BrokenAnswer) {
 		t.Helper()
 		broken.End = standin.EndClose
-		body, err := exchangeBody(t, newPool(), request(brokenUpstream(t, broken), "a"))
+		body, err := exchangeBody(t, newPool(), request(answertest.Start(t, broken), "a"))
 		if err == nil {
 			t.Fatalf("taken for an answer, with the body %q", body)
 		}
@@ -47,7 +48,7 @@
 	}
 	t.Run("all characters of names", func(t *testing.T) {
 		is := is.New(t)
-		body, err := exchangeBody(t, newPool(), request(brokenUpstream(t, standin.BrokenAnswer{
+		body, err := exchangeBody(t, newPool(), request(answertest.Start(t, standin.BrokenAnswer{
 			Status: "200 OK", Fields: []string{"Id: a", "aZ09!#$%&'*+-.^_`|~: 1", "Transfer-Encoding: chunked"}, Body: "5\r\nwhole\r\n0\r\nX-Sum: 1\r\n\r\n", End: standin.EndClose,
 		}), "a"))
 		is.NoErr(err)
--- a/pkg/standin/brokenanswer.go
+++ b/pkg/standin/brokenanswer.go
@@ -1,12 +1,10 @@
 package standin
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -18,6 +16,8 @@
 	EndReset = "reset"
 	// EndReadOn closes only the sending half and reads the rest of the request.
 	EndReadOn = "read_on"
+	// EndHold closes only the sending half, and reads nothing before EndAfter has passed.
+	EndHold = "hold"
 )
 
 // BrokenAnswer is the answer of a server in trouble. It is sent as it is, because net/http encodes no
@@ -54,10 +54,13 @@
 	}
 	_, _ = fmt.Fprintf(buffer, "\r\n%s", a.Body)
 	_ = buffer.Flush()
-	time.Sleep(time.Duration(a.EndAfter))
 	tcp := tcpConn(conn)
+	if tcp != nil && a.End == EndHold {
+		_ = tcp.CloseWrite()
+	}
+	time.Sleep(time.Duration(a.EndAfter))
 	switch {
-	case tcp == nil || a.End == EndClose:
+	case tcp == nil:
 	case a.End == EndReset:
 		_ = tcp.SetLinger(0)
 	case a.End == EndReadOn:
@@ -74,57 +77,3 @@
 	tcp, _ := conn.(*net.TCPConn)
 	return tcp
 }
-
-// DialReportingToWrite opens TCP connections on which the kernel reports a reset to the write of the
-// request. The second read and all later ones wait until a write has failed. With late set, this write
-// returns only after the read that found the end.
-func DialReportingToWrite(late bool) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &resetConn{Conn: conn, late: late, writeFailed: make(chan struct{}), readEnded: make(chan struct{})}, nil
-	}
-}
-
-// resetConn orders what the read and the write of a connection report of a reset.
-type resetConn struct {
-	net.Conn
-	late                   bool
-	reads                  int
-	writeFailed, readEnded chan struct{}
-	failOnce, endOnce      sync.Once
-}
-
-// Read waits for a failed write unless it is the first one.
-func (c *resetConn) Read(p []byte) (int, error) {
-	if c.reads++; c.reads > 1 {
-		<-c.writeFailed
-	}
-	n, err := c.Conn.Read(p)
-	if err != nil {
-		c.endOnce.Do(func() { close(c.readEnded) })
-	}
-	return n, err
-}
-
-// Write reports a failure to Read.
-func (c *resetConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.failOnce.Do(func() { close(c.writeFailed) })
-		if c.late {
-			<-c.readEnded
-		}
-	}
-	return n, err
-}
-
-// Close also ends waiting reads and writes.
-func (c *resetConn) Close() error {
-	err := c.Conn.Close()
-	c.failOnce.Do(func() { close(c.writeFailed) })
-	c.endOnce.Do(func() { close(c.readEnded) })
-	return err
-}
--- a/pkg/upstream/brokenanswer_test.go
+++ b/pkg/upstream/brokenanswer_test.go
@@ -7,38 +7,23 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/cornelline/cornelline/internal/answer/answertest"
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/infra"
 	"github.com/cornelline/cornelline/pkg/standin"
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
 
-// brokenUpstream starts a server that sends the same answer to each request and returns its address.
-func brokenUpstream(t *testing.T, a standin.BrokenAnswer) string {
-	t.Helper()
-	s := httptest.NewServer(&a)
-	t.Cleanup(s.Close)
-	return s.Listener.Addr().String()
-}
-
 // longUpload does not fit into the buffers of a connection whose other end does not read.
 var longUpload = bytes.Repeat([]byte("x"), 8<<20)
 
-// dials holds the ways in which a reset is reported.
-var dials = map[string]func(ctx context.Context, network, address string) (net.Conn, error){
-	"reset reported as the kernel does": nil,
-	"reset reported to the write":       standin.DialReportingToWrite(false),
-	"reset reported to the write late":  standin.DialReportingToWrite(true),
-}
-
 // clientOf returns a client that dials with the function, or as usual if it is nil.
-func clientOf(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+func clientOf(dial answertest.DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4}}
 }
 
@@ -57,11 +42,11 @@
 // whole one: its end is that of the connection, and the connection was reset while the request was
 // written.
 func TestResetDuringUploadBreaksServiceAnswer(t *testing.T) {
-	for name, dial := range dials {
+	for name, dial := range answertest.ResetReports() {
 		for _, key := range []string{"", "k1"} {
 			t.Run(fmt.Sprintf("%s, key %q", name, key), func(t *testing.T) {
 				for _, after := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
-					address := brokenUpstream(t, standin.BrokenAnswer{
+					address := answertest.Start(t, standin.BrokenAnswer{
 						Status: "200 OK", Fields: []string{requestIDField}, Body: "part", Early: true, End: standin.EndReset, EndAfter: standin.Duration(after),
 					})
 					for range 10 {
@@ -80,7 +65,7 @@
 // TestEarlyServiceAnswerWithMarkedEndIsWhole guards against losing an answer that came as a whole before
 // the connection was reset, and the promise of a refusal.
 func TestEarlyServiceAnswerWithMarkedEndIsWhole(t *testing.T) {
-	for name, dial := range dials {
+	for name, dial := range answertest.ResetReports() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			for _, whole := range []standin.BrokenAnswer{
@@ -88,14 +73,14 @@
 				{Status: "413 Content Too Large", Fields: []string{requestIDField, "Transfer-Encoding: chunked"}, Body: "5\r\nwhole\r\n0\r\n\r\n"},
 			} {
 				whole.Early, whole.End = true, standin.EndReset
-				address := brokenUpstream(t, whole)
+				address := answertest.Start(t, whole)
 				for range 5 {
 					answer, err := callService(t, clientOf(dial), address, "", longUpload)
 					is.NoErr(err)
 					is.Equal(string(answer.Body), "whole")
 				}
 			}
-			refusal := brokenUpstream(t, standin.BrokenAnswer{Status: "429 Too Many Requests", Body: "part", Early: true, End: standin.EndReset})
+			refusal := answertest.Start(t, standin.BrokenAnswer{Status: "429 Too Many Requests", Body: "part", Early: true, End: standin.EndReset})
 			for range 5 {
 				_, err := callService(t, clientOf(dial), refusal, "", longUpload)
 				var failure *upstream.Error
@@ -115,7 +100,7 @@
 			is := is.New(t)
 			for _, whole := range []standin.BrokenAnswer{{End: standin.EndClose}, {Early: true, End: standin.EndReadOn}} {
 				whole.Status, whole.Fields, whole.Body = "200 OK", []string{requestIDField}, "whole"
-				address := brokenUpstream(t, whole)
+				address := answertest.Start(t, whole)
 				for range 5 {
 					answer, err := callService(t, clientOf(nil), address, "", longUpload[:size])
 					is.NoErr(err)
@@ -126,16 +111,33 @@
 	}
 }
 
+// TestUnfinishedUploadAfterTheEnd guards against waiting for the rest of an upload beyond the deadline
+// after the answer has ended with its half of the connection.
+func TestUnfinishedUploadAfterTheEnd(t *testing.T) {
+	is := is.New(t)
+	address := answertest.Start(t, standin.BrokenAnswer{
+		Status: "200 OK", Fields: []string{requestIDField}, Body: "whole?", Early: true, End: standin.EndHold, EndAfter: standin.Duration(10 * time.Second),
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err := upstream.NewHTTPService("s1", address, "/", nil).Call(ctx, upstream.ServiceRequest{RequestID: "r1", Key: "k1", Body: longUpload})
+	var failure *upstream.Error
+	is.True(errors.As(err, &failure))
+	is.True(failure.Sent)
+	is.True(ctx.Err() != nil)
+}
+
 // TestConnectionOfCutOffRequestIsNotReused guards against sending a request over a connection that was
 // reset during the one before.
 func TestConnectionOfCutOffRequestIsNotReused(t *testing.T) {
 	is := is.New(t)
 	var opened int
+	dialReset := answertest.ResetReports()["to the write"]
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened++
-		return standin.DialReportingToWrite(false)(ctx, network, address)
+		return dialReset(ctx, network, address)
 	}
-	address := brokenUpstream(t, standin.BrokenAnswer{
+	address := answertest.Start(t, standin.BrokenAnswer{
 		Status: "200 OK", Fields: []string{requestIDField, "Content-Length: 5"}, Body: "whole", Early: true, End: standin.EndReset,
 	})
 	service := upstream.NewHTTPService("s1", address, "/bookings", clientOf(dial))
@@ -149,10 +151,10 @@
 // TestResetDuringUploadBreaksGeneration guards against taking a stream for complete whose connection was
 // reset between two events.
 func TestResetDuringUploadBreaksGeneration(t *testing.T) {
-	for name, dial := range dials {
+	for name, dial := range answertest.ResetReports() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address := brokenUpstream(t, standin.BrokenAnswer{Status: "200 OK", Body: `{"event":{"index":0}}` + "\n", Early: true, End: standin.EndReset})
+			address := answertest.Start(t, standin.BrokenAnswer{Status: "200 OK", Body: `{"event":{"index":0}}` + "\n", Early: true, End: standin.EndReset})
 			engine := upstream.NewHTTPEngine("e1", address, clientOf(dial))
 			stream, err := engine.Generate(t.Context(), upstream.GenerateRequest{Session: "s1", Tokens: make([]fleet.Token, 4<<20)})
 			is.NoErr(err)
@@ -186,7 +188,7 @@
 				broken.Fields = append(broken.Fields, requestIDField)
 			}
 			broken.End = standin.EndClose
-			answer, err := callService(t, clientOf(nil), brokenUpstream(t, broken), "", []byte("{}"))
+			answer, err := callService(t, clientOf(nil), answertest.Start(t, broken), "", []byte("{}"))
 			var failure *upstream.Error
 			if !errors.As(err, &failure) || !failure.Sent {
 				t.Fatalf("%q, %v; want a failure of a call that may have run", answer.Body, err)
@@ -206,7 +208,7 @@
 		"behind the value": {Fields: []string{fmt.Sprintf("Content-Length: %d", len(value)+2)}, Body: value + "{}"},
 	} {
 		broken.Status, broken.End = "200 OK", standin.EndClose
-		address := brokenUpstream(t, broken)
+		address := answertest.Start(t, broken)
 		engine, log := upstream.NewHTTPEngine("e1", address, nil), infra.NewHTTPLog(address, nil)
 		for call, send := range map[string]func() error{
 			"state":        func() error { _, err := engine.State(t.Context()); return err },
@@ -242,7 +244,7 @@
 // answer that broke off behind it.
 func TestRangeOfOffsetsThatBreaksOff(t *testing.T) {
 	is := is.New(t)
-	address := brokenUpstream(t, standin.BrokenAnswer{Status: "410 Gone", Fields: []string{"Content-Length: 200"}, Body: `{"first":7,"next":9}`, End: standin.EndClose})
+	address := answertest.Start(t, standin.BrokenAnswer{Status: "410 Gone", Fields: []string{"Content-Length: 200"}, Body: `{"first":7,"next":9}`, End: standin.EndClose})
 	_, err := infra.NewHTTPLog(address, nil).Read(t.Context(), "s", 0, 1)
 	is.True(err != nil)
 	is.True(!errors.Is(err, infra.ErrTruncated))
@@ -251,9 +253,9 @@
 // TestResetDuringAppendToLogIsNoAnswer guards against taking records as appended when the answer has no
 // length and its connection is reset while they are sent.
 func TestResetDuringAppendToLogIsNoAnswer(t *testing.T) {
-	for name, dial := range dials {
+	for name, dial := range answertest.ResetReports() {
 		t.Run(name, func(t *testing.T) {
-			address := brokenUpstream(t, standin.BrokenAnswer{
+			address := answertest.Start(t, standin.BrokenAnswer{
 				Status: "200 OK", Body: `{"first":7}`, Early: true, End: standin.EndReset, EndAfter: standin.Duration(5 * time.Millisecond),
 			})
 			log := infra.NewHTTPLog(address, clientOf(dial))
