--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -34,8 +34,8 @@
 	mu sync.Mutex
 	// changed signals changes of the fields below.
 	changed *sync.Cond
-	// requests counts the requests that have begun.
-	requests int
+	// used is set once a request has begun, so that something reads from the connection.
+	used bool
 	// writing is set while a request is being written.
 	writing bool
 	// writes is the number of calls of Write in progress.
@@ -65,8 +65,7 @@
 func (c *Conn) BeginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests++
-	c.writing, c.written, c.endsAnswer = true, 0, false
+	c.used, c.writing, c.written, c.endsAnswer = true, true, 0, false
 }
 
 // EndRequest ends the write of the request, with its error.
@@ -132,7 +131,7 @@
 	c.written += n
 	c.fail(err)
 	c.changed.Broadcast()
-	if err != nil && c.requests > 0 && c.written > 0 {
+	if err != nil && c.used && c.written > 0 {
 		for !c.readEnded && !c.closed {
 			c.changed.Wait()
 		}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -224,7 +224,8 @@
 	}, nil
 }
 
-// SetReadTimeout makes reads of the body fail after d from now. 0 removes the bound.
+// SetReadTimeout makes reads of the body fail after d from now. 0 removes the bound. It does not
+// bound the wait for the request's write at the end of a body that ends with its connection.
 func (r *Response) SetReadTimeout(d time.Duration) {
 	deadline := time.Time{}
 	if d > 0 {
