A VM that loses the store no longer returns to an older configuration

Cause: the wait for a newer version was a timer. A VM without the store took "I saw none" for "none was written", and its return, which carries the era, outranks version numbers, so that VMs that had read the newer version in that era gave way. Change: a pending older version is put in force only by a read of the store that began after the wait and found nothing newer. A VM that has read a version in an era keeps it against an older one of that era. A return that a second restore interrupts is taken up again. No message changed. Evidence: config_in_force names the source, "store, written anew" on the VM without the store, that VM on the others.

--- a/pkg/gateway/configuration.go
+++ b/pkg/gateway/configuration.go
@@ -116,10 +116,35 @@
 			c.activateConfig(now, r, "store")
 		case storeera.Pending:
 			c.pendingConfig = r
+			c.g.cancelConfigRead() // the next one ends when the version may be in force
 		}
+		c.updatePendingUntil()
 	})
 }
 
+// confirmPendingConfig records that a read of the store that began at readStart found no newer
+// configuration.
+func (c *control) confirmPendingConfig(readStart time.Time, era storeera.Era) {
+	if c.g.configPendingUntil.Load() == nil {
+		return
+	}
+	c.post(func(now time.Time) {
+		if c.configuration.ConfirmPending(readStart, era) {
+			c.activateConfig(now, c.pendingConfig, "store, written anew by the operator")
+		}
+	})
+}
+
+// updatePendingUntil tells the goroutine that reads the configuration when a pending version may
+// be in force.
+func (c *control) updatePendingUntil() {
+	var until *time.Time
+	if at, ok := c.configuration.PendingUntil(); ok {
+		until = &at
+	}
+	c.g.configPendingUntil.Store(until)
+}
+
 // applyPeerConfig applies the configuration of another VM if it is newer.
 func (c *control) applyPeerConfig(offer *peering.ConfigOffer, vm string, fetchTime time.Duration) {
 	r := c.decodeOffer(offer.Data, vm)
@@ -137,6 +162,7 @@
 // activateConfig makes a configuration the one in force and publishes a view with it.
 func (c *control) activateConfig(now time.Time, r *configRecord, source string) {
 	c.catalog, c.configRecord, c.pendingConfig, c.dirty = r.catalog, r, nil, true
+	c.updatePendingUntil()
 	c.nearStateTimer.SendNow()
 	c.farStateTimer.SendNow()
 	select {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -231,9 +231,6 @@
 	c.applyMembershipActions(c.members.Tick(now))
 	c.expireRefusals(now)
 	c.checkRuns(now)
-	if c.configuration.Tick(now) {
-		c.activateConfig(now, c.pendingConfig, "store, written anew by the operator")
-	}
 	if now.Sub(c.storeDutyAssignedAt) >= storeDutyInterval {
 		c.storeDutyAssignedAt = now
 		c.assignStoreDuty(now)
@@ -416,9 +413,7 @@
 		c.lastStoreFailure = now
 		c.roster.RecordStoreFailure(now)
 		if c.storeUp {
-			if cancelRead := c.g.cancelConfigRead.Load(); cancelRead != nil {
-				(*cancelRead)() // the answer to this read may be lost
-			}
+			c.g.cancelConfigRead() // the answer to this read may be lost
 			c.storeUp, c.storeDownSince = false, now
 			c.storeDown.Store(true)
 			c.g.log.Log(event.LogUnavailable).Str("stream", "store").Str("call", call).Err(err).Send()
--- a/pkg/gateway/eras.go
+++ b/pkg/gateway/eras.go
@@ -77,9 +77,7 @@
 func (g *Gateway) handleStoreRestored(before, era storeera.Era, source string) {
 	g.stats.Count("store_restores")
 	g.log.Log(event.StoreRestored).Uint64("era", uint64(era)).Uint64("before", uint64(before)).Str("source", source).Send()
-	if cancelRead := g.cancelConfigRead.Load(); cancelRead != nil {
-		(*cancelRead)() // the read waits at an offset of the replaced copy
-	}
+	g.cancelConfigRead() // the read waits at an offset of the replaced copy
 	g.control.post(func(now time.Time) {
 		g.control.roster.RecordStoreRestore(now)
 		g.control.nearStateTimer.SendNow()
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -25,6 +25,9 @@
 	// the configuration is silent, no other call fails, and the short polls of one VM notice
 	// when it is back for all.
 	configShortPollTimeout = 2000 * time.Millisecond
+	// configConfirmPollTimeout is the least time for which the poll that confirms a pending
+	// configuration stays open.
+	configConfirmPollTimeout = 100 * time.Millisecond
 	// configReadSlack is added to the poll timeout to get the timeout of the whole call.
 	configReadSlack = 600 * time.Millisecond
 	// storeStablePeriod is the time without a failed call after which the store counts as
@@ -95,6 +98,7 @@
 		if count := g.eras.restoreCount(); count != restoreCount { // nextOffset belongs to another copy of the store
 			restoreCount, whole = count, true
 		}
+		readStart := time.Now()
 		page, err := g.readConfig(ctx, nextOffset, whole)
 		if verdict := g.checkCallEra(restoreCount, page.Era, err, platform.OperatorTopic); verdict != storeera.Current {
 			continue
@@ -123,8 +127,13 @@
 		}
 		if newest.Value != nil {
 			g.control.applyStoreConfig(newest.Value, storeera.Record{Era: page.Era, Offset: newest.Offset, Appended: appended})
-		} else if len(page.Records) == 0 && g.view.Load().catalog == nil && !sleep(ctx, emptyTopicPause) {
-			return
+		} else if len(page.Records) == 0 {
+			if appended {
+				g.control.confirmPendingConfig(readStart, page.Era)
+			}
+			if g.view.Load().catalog == nil && !sleep(ctx, emptyTopicPause) {
+				return
+			}
 		}
 	}
 }
@@ -154,7 +163,7 @@
 func (g *Gateway) readConfig(ctx context.Context, next uint64, whole bool) (platform.Page, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	g.cancelConfigRead.Store(&cancel)
+	g.cancelOpenConfigRead.Store(&cancel)
 	wait := configPollTimeout
 	unstable := time.Since(g.started)-time.Duration(g.storeFailedAt.Load()) < storeStablePeriod
 	switch {
@@ -163,9 +172,19 @@
 	case unstable || g.storeDuty.Load().ReadsList:
 		wait = configShortPollTimeout
 	}
+	if until := g.configPendingUntil.Load(); until != nil {
+		wait = min(wait, max(time.Until(*until), configConfirmPollTimeout))
+	}
 	return g.readTopic(ctx, platform.OperatorTopic, next, whole, wait, wait+configReadSlack)
 }
 
+// cancelConfigRead ends the read of the configuration that is in progress. Another one follows.
+func (g *Gateway) cancelConfigRead() {
+	if cancel := g.cancelOpenConfigRead.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // followUpstreams keeps the list of upstreams up to date until ctx ends. One VM reads the
 // topic for all and sends what it read to the others; a VM that gets no listing in time
 // reads the topic itself.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -112,8 +112,11 @@
 
 	// storeFailedAt is when a call to the store last failed, as a duration since the start.
 	storeFailedAt atomic.Int64
-	// cancelConfigRead cancels the configuration read that is in progress.
-	cancelConfigRead atomic.Pointer[context.CancelFunc]
+	// cancelOpenConfigRead cancels the configuration read that is in progress.
+	cancelOpenConfigRead atomic.Pointer[context.CancelFunc]
+	// configPendingUntil is when an older configuration that the operator wrote again may be in
+	// force at the earliest, nil if there is none.
+	configPendingUntil atomic.Pointer[time.Time]
 
 	// initialStateKnown is closed once the configuration and the list of upstreams are
 	// known.
--- a/pkg/gateway/lead.go
+++ b/pkg/gateway/lead.go
@@ -149,9 +149,7 @@
 		c.leaderSeenAt = now
 	}
 	if before := c.g.storeDuty.Swap(&d); d.ReadsList && !before.ReadsList {
-		if cancelRead := c.g.cancelConfigRead.Load(); cancelRead != nil {
-			(*cancelRead)() // the polls of the VM that reads the list are short
-		}
+		c.g.cancelConfigRead() // the polls of the VM that reads the list are short
 	}
 }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -180,7 +180,7 @@
 	if hasRequests(s) {
 		c.g.requestReceived.Store(true)
 	}
-	if offered := (storeera.Version{RevertEra: s.RevertEra, Number: s.ConfigVersion}); offered.After(c.configuration.InForce()) {
+	if offered := (storeera.Version{RevertEra: s.RevertEra, Number: s.ConfigVersion}); c.configuration.ObserveOffer(offered) {
 		c.fetchConfig(s.VM)
 	}
 	if s.HasList && (!c.listKnown || !c.peerListReceived) {
--- a/pkg/storeera/model_test.go
+++ b/pkg/storeera/model_test.go
@@ -24,6 +24,9 @@
 	modelRenewInterval = 1200 * time.Millisecond
 	copiesKept         = 20 // one per step, so that copies are up to 4 s old
 	delayedAnswerSteps = 5  // mean number of steps by which a delayed answer arrives late
+	// maxWritePause bounds the pause between two writes of the operator, and with the step of the
+	// model and a delayed answer's mean lateness lies within SettleTime.
+	maxWritePause = 1800 * time.Millisecond
 )
 
 // modelStore is the content of the store: the list of upstreams and the operator's records.
@@ -31,10 +34,13 @@
 	era     storeera.Era
 	list    []roster.Record
 	configs []uint64 // version number of the record at each offset
+	// written is the number of the operator's writes up to this content.
+	written int
 }
 
 func (s modelStore) copy() modelStore {
-	return modelStore{era: s.era, list: slices.Clone(s.list), configs: slices.Clone(s.configs)}
+	s.list, s.configs = slices.Clone(s.list), slices.Clone(s.configs)
+	return s
 }
 
 func (s *modelStore) newest() map[fleet.UpstreamID]roster.Upstream {
@@ -51,6 +57,7 @@
 
 // answer holds the answers to a VM's reads of both topics. It may arrive some steps later.
 type answer struct {
+	readStart     time.Time
 	restoreCount  storeera.RestoreCount
 	era           storeera.Era
 	list          []roster.Record
@@ -103,15 +110,49 @@
 	store   modelStore
 	copies  []modelStore
 	servers []*modelServer
-	version uint64
-	rewrite time.Time // when the operator writes the version again that a restore lost; zero for never
+	// The operator's writes so far, and those that follow from writeAt on, with pauses. After a
+	// restore it writes again what was lost, in order.
+	version uint64 // highest number so far
+	written []uint64
+	queue   []uint64
+	writeAt time.Time
+	// returns is set if the operator may leave out the last versions that a restore lost, and so
+	// return to an older one.
+	returns bool
 	vms     []*modelVM
 	starts  int
 }
 
+// writeNext writes the next version of the operator's queue when it is due.
+func (m *model) writeNext() {
+	if len(m.queue) == 0 || m.now.Before(m.writeAt) {
+		return
+	}
+	m.store.configs = append(m.store.configs, m.queue[0])
+	m.written = append(m.written, m.queue[0])
+	m.store.written = len(m.written)
+	m.queue = m.queue[1:]
+	m.writeAt = m.now.Add(time.Duration(m.random.Int64N(int64(maxWritePause))))
+}
+
+// restore replaces the store by an older copy. The operator writes again what was lost.
+func (m *model) restore(older modelStore) {
+	era := m.highestEra() + 1
+	m.store = older.copy()
+	m.store.era = era
+	var lost []uint64
+	for _, number := range append(slices.Clone(m.written[older.written:]), m.queue...) {
+		lost = append(slices.DeleteFunc(lost, func(n uint64) bool { return n == number }), number)
+	}
+	if m.returns && len(lost) > 1 && m.random.IntN(2) == 0 {
+		lost = lost[:1+m.random.IntN(len(lost)-1)]
+	}
+	m.queue, m.writeAt = lost, m.now.Add(time.Second)
+}
+
 // readStore returns the store's present answers to a VM's reads of both topics.
 func (m *model) readStore(v *modelVM) answer {
-	a := answer{restoreCount: v.tracker.RestoreCount(), era: m.store.era}
+	a := answer{readStart: m.now, restoreCount: v.tracker.RestoreCount(), era: m.store.era}
 	next, whole := v.follower.ReadPosition()
 	whole = whole || v.listRestoreCount != a.restoreCount
 	switch {
@@ -166,6 +207,8 @@
 		v.configWhole, v.configNext = false, a.configEnd
 		if a.hasConfig {
 			v.config.ObserveRecord(m.now, a.config)
+		} else if !a.configWhole {
+			v.config.ConfirmPending(a.readStart, a.era)
 		}
 	}
 	next, whole := v.follower.ReadPosition()
@@ -223,7 +266,7 @@
 	switch m.random.IntN(24) {
 	case 0, 1:
 		m.version += 1 + m.random.Uint64N(3)
-		m.store.configs = append(m.store.configs, m.version)
+		m.queue = append(m.queue, m.version)
 	case 2:
 		if s.running && !s.up.Draining {
 			s.up.Draining = true
@@ -241,8 +284,7 @@
 			m.write(s, false)
 		}
 	case 7:
-		m.store, m.rewrite = m.copies[m.random.IntN(len(m.copies))].copy(), m.now.Add(time.Second)
-		m.store.era = m.highestEra() + 1
+		m.restore(m.copies[m.random.IntN(len(m.copies))])
 	case 8:
 		v.storeCut = !v.storeCut
 	case 9:
@@ -281,12 +323,7 @@
 			m.write(s, true) // its entry expires
 		}
 	}
-	if !m.rewrite.IsZero() && m.now.After(m.rewrite) {
-		m.rewrite = time.Time{}
-		if len(m.store.configs) == 0 || m.store.configs[len(m.store.configs)-1] != m.version {
-			m.store.configs = append(m.store.configs, m.version)
-		}
-	}
+	m.writeNext()
 	var published *roster.Listing
 	var reader *modelVM
 	for _, v := range m.vms {
@@ -305,7 +342,6 @@
 			m.applyAnswer(v, v.delayed[0])
 			v.delayed = v.delayed[1:]
 		}
-		v.config.Tick(m.now)
 		v.roster.Tick(m.now, nil)
 	}
 	for _, v := range m.vms {
@@ -322,12 +358,12 @@
 	}
 }
 
-// check fails if a VM returned to an older configuration, lists two upstreams at one
-// address, or uses an upstream again that was draining.
+// check fails if a VM returned to an older configuration although the operator did not, lists
+// two upstreams at one address, or uses an upstream again that was draining.
 func (m *model) check() {
 	for i, v := range m.vms {
 		inForce := v.config.InForce()
-		if v.lastInForce.After(inForce) {
+		if v.lastInForce.After(inForce) || !m.returns && inForce.Number < v.lastInForce.Number {
 			m.t.Fatalf("seed %d, %v: VM %d has version %v after %v", m.seed, m.now.Sub(start), i, inForce, v.lastInForce)
 		}
 		v.lastInForce = inForce
@@ -355,15 +391,18 @@
 	for _, v := range m.vms {
 		v.storeCut, v.isolated, v.paused = false, false, false
 	}
-	m.rewrite = m.now
+	for len(m.queue) > 0 {
+		m.step()
+		m.check()
+	}
 	for range modelCatchUp/modelStep + delayedAnswerSteps {
 		m.step()
 		m.check()
 	}
 	want := m.store.newest()
 	for i, v := range m.vms {
-		if got := v.config.InForce().Number; got != m.version {
-			m.t.Fatalf("seed %d: VM %d has version %d at the end, want %d", m.seed, i, got, m.version)
+		if got, want := v.config.InForce().Number, m.written[len(m.written)-1]; got != want {
+			m.t.Fatalf("seed %d: VM %d has version %d at the end, want %d", m.seed, i, got, want)
 		}
 		have := map[fleet.UpstreamID]bool{}
 		for _, u := range v.roster.List() {
@@ -386,28 +425,47 @@
 
 // TestModelOfRestores simulates an operator, servers, VMs that restart, lose
 // connections or are paused, delayed answers, and a store that is restored from copies
-// up to 4 s old. Guards against VMs that return to older state or do not converge
-// after such faults.
+// up to 4 s old. The operator writes again what is lost, in order. Guards against VMs that
+// return to older state, such as all VMs that follow one which lost sight of the store between
+// two of these writes, or do not converge after such faults.
 func TestModelOfRestores(t *testing.T) {
 	for seed := range uint64(*modelSeeds) {
-		m := &model{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: start, store: modelStore{era: 1}}
-		for i := range modelServers {
-			id := fmt.Sprintf("s%d", i)
-			s := &modelServer{up: roster.Upstream{ID: fleet.UpstreamID(id), Service: "s", Address: id + ":1", Born: start}, running: true}
-			m.servers = append(m.servers, s)
-			m.write(s, false)
-		}
-		m.version = 1
-		m.store.configs = []uint64{1}
-		for range modelVMs {
-			m.vms = append(m.vms, newModelVM())
-		}
-		for range modelSteps {
-			m.step()
-			m.check()
-			m.injectFault()
-			m.check()
-		}
-		m.settle()
+		newModel(t, seed, false).play()
+	}
+}
+
+// TestModelOfReturns is the opposite of TestModelOfRestores: after a restore the operator may leave
+// out the newest versions. Guards against VMs that keep a version which the operator has returned
+// from.
+func TestModelOfReturns(t *testing.T) {
+	for seed := range uint64(*modelSeeds) {
+		newModel(t, seed, true).play()
+	}
+}
+
+func newModel(t *testing.T, seed uint64, returns bool) *model {
+	m := &model{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: start, returns: returns}
+	for i := range modelServers {
+		id := fmt.Sprintf("s%d", i)
+		s := &modelServer{up: roster.Upstream{ID: fleet.UpstreamID(id), Service: "s", Address: id + ":1", Born: start}, running: true}
+		m.servers = append(m.servers, s)
+		m.write(s, false)
+	}
+	m.version, m.written = 1, []uint64{1}
+	m.store.era, m.store.configs, m.store.written = 1, []uint64{1}, 1
+	for range modelVMs {
+		m.vms = append(m.vms, newModelVM())
+	}
+	return m
+}
+
+// play applies random faults for modelSteps and ends with settle.
+func (m *model) play() {
+	for range modelSteps {
+		m.step()
+		m.check()
+		m.injectFault()
+		m.check()
 	}
+	m.settle()
 }
--- a/pkg/storeera/storeera.go
+++ b/pkg/storeera/storeera.go
@@ -7,7 +7,9 @@
 //   - an answer is used only if it comes from the newest known copy of the store, or is
 //     the first one from another copy;
 //   - the version of the configuration decreases only if the operator wrote the older
-//     version again after a restore, and no newer one follows within SettleTime.
+//     version again after a restore, and the store itself shows that no newer one followed
+//     within SettleTime;
+//   - a version that this VM has read in an era is not left for an older one of that era.
 package storeera
 
 import "time"
@@ -138,9 +140,11 @@
 	hasOffset bool
 	// era is the era in which the version was last read or received from another VM.
 	era Era
+	// readEra is the era of the last record that was read.
+	readEra Era
 	// pending is an older version that the operator wrote again.
 	pending Record
-	// pendingSince is when pending was read; zero if there is no pending version.
+	// pendingSince is when pending was first read in its era; zero if there is no pending version.
 	pendingSince time.Time
 }
 
@@ -157,12 +161,13 @@
 	// InForce: the record's version is in force now.
 	InForce
 	// Pending: the record's version is older than the one in force. It is in force once
-	// Tick returns true.
+	// ConfirmPending returns true.
 	Pending
 )
 
 // ObserveRecord applies a record that was read from the store.
 func (c *Configuration) ObserveRecord(now time.Time, r Record) RecordStatus {
+	c.readEra = r.Era
 	switch {
 	case !c.known || r.Number > c.version.Number:
 		c.setVersion(Version{RevertEra: c.version.RevertEra, Number: r.Number})
@@ -171,26 +176,44 @@
 		c.setOffset(r)
 		return Ignored
 	default:
-		// Without a restore an older record is a delayed write. After a restore, a record at
-		// or above the offset of the version in force was written after the restore, because
-		// the restored copy ends before that offset.
-		if r.Era != c.era && (r.Appended || c.hasOffset && r.Offset >= c.offset) {
-			c.pending, c.pendingSince = r, now
-			return Pending
+		// Without a restore an older record is a delayed write.
+		if r.Era == c.era || !c.writtenAfterRestore(r) {
+			return Ignored
 		}
-		return Ignored
+		if !c.hasPending() || r.Number != c.pending.Number || r.Era != c.pending.Era {
+			c.pendingSince = now
+		}
+		c.pending = r
+		return Pending
 	}
 	c.setOffset(r)
 	return InForce
 }
 
+// writtenAfterRestore reports whether a record that is older than the version in force was
+// written after a restore. It was if it lies at or above the offset of that version, where the
+// restored copy ended, or if one that precedes it was written after an earlier restore.
+func (c *Configuration) writtenAfterRestore(r Record) bool {
+	return r.Appended || c.hasOffset && r.Offset >= c.offset || c.hasPending() && r.Number >= c.pending.Number
+}
+
 // setOffset records the offset and era of the record of the version in force.
 func (c *Configuration) setOffset(r Record) { c.offset, c.hasOffset, c.era = r.Offset, true, r.Era }
 
+// ObserveOffer records that another VM has version v in force, and reports whether v
+// replaces the version in force here. If this VM has read a newer version in the era in which v
+// was returned to, the operator has since written that one again, and v is out of date.
+func (c *Configuration) ObserveOffer(v Version) bool {
+	if v.RevertEra > c.version.RevertEra && v.Number < c.version.Number && c.hasOffset && c.era >= v.RevertEra {
+		c.version.RevertEra = v.RevertEra
+	}
+	return !c.known || v.After(c.version)
+}
+
 // ObservePeerVersion records a version that another VM has in force, received in the
 // given era, and reports whether this call put it in force here.
 func (c *Configuration) ObservePeerVersion(v Version, era Era) bool {
-	if c.known && !v.After(c.version) {
+	if !c.ObserveOffer(v) {
 		return false
 	}
 	c.setVersion(v)
@@ -198,10 +221,19 @@
 	return true
 }
 
-// Tick puts the pending version in force once SettleTime has passed, and reports whether
-// it did.
-func (c *Configuration) Tick(now time.Time) bool {
-	if c.pendingSince.IsZero() || now.Sub(c.pendingSince) < SettleTime {
+// PendingUntil returns when the pending version may be in force at the earliest, and false if
+// there is none that was read in the store's current era.
+func (c *Configuration) PendingUntil() (time.Time, bool) {
+	return c.pendingSince.Add(SettleTime), c.hasPending() && c.pending.Era == c.readEra
+}
+
+// ConfirmPending records that a read of the store, which began at readStart and was answered in
+// the given era (0 if it named none), found no record after the last one that was observed. It
+// puts the pending version in force if the read began once SettleTime had passed, and reports
+// whether it did. Time alone does not suffice: a VM that does not reach the store does not see
+// newer versions.
+func (c *Configuration) ConfirmPending(readStart time.Time, era Era) bool {
+	if !c.hasPending() || era != 0 && era != c.pending.Era || readStart.Sub(c.pendingSince) < SettleTime {
 		return false
 	}
 	c.setVersion(Version{RevertEra: c.pending.Era, Number: c.pending.Number})
@@ -209,6 +241,8 @@
 	return true
 }
 
+func (c *Configuration) hasPending() bool { return !c.pendingSince.IsZero() }
+
 func (c *Configuration) setVersion(v Version) {
 	c.version, c.known, c.pendingSince = v, true, time.Time{}
 }
