VMs tell the others which parts of crashed runs they know to be sound

Cause: the parts to be told were filtered by "suspected here", and a VM never suspects what it knows to be sound, so that nothing was ever told. The filter was meant to leave out what another VM has told. Change: a part is left out once another VM has told it.

--- a/pkg/crashcause/fleet_test.go
+++ b/pkg/crashcause/fleet_test.go
@@ -253,11 +253,12 @@
 		})
 	}
 	if len(vm.known) > 0 && s.now >= vm.knownDue {
-		known := slices.DeleteFunc(vm.known, func(p crashcause.Part) bool { return !vm.tracker.IsSuspicion(p) })
+		known := vm.known
 		vm.known = nil
-		if len(known) > 0 {
-			s.broadcast(vm, func(to *simVM) { to.tracker.RecordKnownSound(known) })
-		}
+		s.broadcast(vm, func(to *simVM) {
+			to.tracker.RecordKnownSound(known)
+			to.known = slices.DeleteFunc(to.known, func(p crashcause.Part) bool { return slices.Contains(known, p) })
+		})
 	}
 	if peer := s.vms[s.random.IntN(len(s.vms))]; peer != vm { // one of the state messages
 		for _, g := range peer.tracker.Groups() {
--- a/pkg/gateway/crashevidence.go
+++ b/pkg/gateway/crashevidence.go
@@ -37,10 +37,7 @@
 		clear(c.soundReports)
 		clear(c.staleGroupParts)
 	}
-	if len(c.knownSound) > 0 && !now.Before(c.knownSoundDue) {
-		m.Known = slices.DeleteFunc(c.knownSound, func(p crashcause.Part) bool { return !c.crashes.IsSuspicion(p) })
-		c.knownSound = nil
-	}
+	m.Known = c.takeKnownSound(now)
 	m.Trials, c.crashTrials = c.crashTrials, nil
 	if len(m.Crashes)+len(m.Sound)+len(m.Known)+len(m.Trials) > 0 {
 		c.recordCrashEvidence(now, m)
@@ -100,11 +97,23 @@
 	}
 	c.crashes.RecordSound(now, m.Sound)
 	c.crashes.RecordKnownSound(m.Known)
+	c.knownSound = slices.DeleteFunc(c.knownSound, func(p crashcause.Part) bool { return slices.Contains(m.Known, p) })
 	for _, parts := range m.Trials {
 		c.crashes.RecordTrial(now, parts)
 	}
 }
 
+// takeKnownSound returns the parts that this VM is to tell the others to be sound now. No other VM has
+// told them meanwhile.
+func (c *control) takeKnownSound(now time.Time) []crashcause.Part {
+	if now.Before(c.knownSoundDue) {
+		return nil
+	}
+	parts := c.knownSound
+	c.knownSound = nil
+	return parts
+}
+
 // addKnownSound schedules a message that parts are known to be sound. Its delay leaves time for
 // another VM to say the same.
 func (c *control) addKnownSound(now time.Time, parts []crashcause.Part) {
