A late notice of a trial does not shorten the time to the next one

Cause: a VM that hears of the crash which ended a trial before it hears of the trial's start set the next trial to 5 s after the late message. Change: the notice of a trial changes nothing once its failure is known. Result: TestLateNoticeOfATrial failed before and passes.

--- a/pkg/crashcause/group.go
+++ b/pkg/crashcause/group.go
@@ -64,10 +64,11 @@
 	return time.Duration(bits.Len(uint(vmsAhead))) * TrialSpacing
 }
 
-// RecordTrial records that a request of a group is let through.
+// RecordTrial records that a request of a group is let through. The message may come after that of the
+// crash which ended the trial, and then changes nothing.
 func (t *Tracker) RecordTrial(now time.Time, parts []Part) {
 	for _, g := range t.refused() {
-		if slices.Equal(g.Parts, parts) {
+		if slices.Equal(g.Parts, parts) && (g.FailedTrials == 0 || !now.Before(g.TrialFrom)) {
 			g.TrialFrom, g.onTrial = now.Add(trialTimeout), true
 			if g.FailedTrials == 0 {
 				g.UndecidedUntil = now.Add(trialOutcomeTime)
--- a/pkg/crashcause/suspicion_test.go
+++ b/pkg/crashcause/suspicion_test.go
@@ -153,3 +153,21 @@
 		})
 	}
 }
+
+// TestLateNoticeOfATrial guards against a group whose next trial comes after seconds, not minutes, since
+// a VM heard of the crash that ended the trial before it heard of its start.
+func TestLateNoticeOfATrial(t *testing.T) {
+	is := is.New(t)
+	tracker, now := crashcause.NewTracker(), epoch
+	tracker.RecordCrash(now, startingCrash(1, 7))
+	now = now.Add(3 * time.Second)
+	tracker.RecordCrash(now, startingCrash(2, 7))
+	tracker.Update(now)
+	before := tracker.Groups()
+	is.Equal(len(before), 1)
+	is.Equal(before[0].FailedTrials, 1)
+	tracker.RecordTrial(now.Add(100*time.Millisecond), before[0].Parts)
+	is.Equal(tracker.Groups(), before)
+	tracker.RecordTrial(before[0].TrialFrom, before[0].Parts) // the next one
+	is.True(tracker.Groups()[0].TrialFrom.After(before[0].TrialFrom))
+}
