VMs that start know the crashes that were seen before

Cause: crashes below the verdict, suspicions and what was cleared were told once, to the VMs that ran at that moment. A VM that starts got verdicts only. Change: a VM that starts gets the history of crashes with the list of upstreams and replays it; the answer goes only to VMs that read it, so that VMs of the former build work as before. Own front end: two VMs tell one that joins of the suspects.

--- a/pkg/crashcause/suspicion.go
+++ b/pkg/crashcause/suspicion.go
@@ -194,6 +194,9 @@
 // suspect adds a crash to the suspicion of a part. A crash after the request that was let through
 // began turns the suspicion into a group. trialAfter is the time from the crash to the next trial.
 func (t *Tracker) suspect(now time.Time, c *crash, p Part, undecidedUntil time.Time, trialAfter time.Duration) {
+	if s := t.suspects[p]; s != nil && !now.After(s.clearedAt) {
+		return
+	}
 	g := t.suspicionOf(p)
 	if g == nil {
 		g = &Group{Parts: []Part{p}, UndecidedUntil: undecidedUntil}
@@ -208,11 +211,9 @@
 		return
 	}
 	failed := g.onTrial || g.Crashes > 0 && !now.Before(g.TrialFrom)
-	// A retry says less than a later trial: both upstreams may have ended for one reason.
-	retried := trialAfter == unshownTrialAfter && now.Sub(g.LastCrash) < unshownTrialAfter
 	g.Crashes++
 	g.LastCrash, g.onTrial, g.UndecidedUntil = now, false, undecidedUntil
-	if failed && !retried {
+	if failed && (trialAfter != unshownTrialAfter || g.Crashes >= minCrashes) { // fewer may be a coincidence
 		g.FailedTrials++
 	}
 	g.TrialFrom = now.Add(trialAfter)
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -69,6 +69,10 @@
 	knownSoundDue time.Time
 	// crashTrials holds the parts of the trials begun since the last tick.
 	crashTrials [][]crashcause.Part
+	// crashHistoryComplete is set once this VM knows what the other VMs knew of crashes before its
+	// start, and crashHistories counts the answers that it has got to that question.
+	crashHistoryComplete bool
+	crashHistories       int
 	// crashResends are the reports of crashes that are sent again.
 	crashResends []crashResend
 	// stallWatch finds runs that make no progress.
@@ -168,7 +172,8 @@
 		gates: make(map[catalog.ServiceID]*gate), peers: make(map[fleet.VMID]*peerState), peerTotals: peering.NewTotals(),
 		slowness: make(map[fleet.UpstreamID]float64), reportedLayers: make(map[fleet.UpstreamID]layerReport),
 		storeUp: true, stallWatch: stall.NewDetector(), uncertainReroutes: newUncertainReroutes(), sight: newSight(now, g.settings),
-		crashes: crashcause.NewTracker(), crashReports: make(map[notice.Instance]crashcause.Crash), soundReports: make(map[crashcause.Part]int), staleGroupParts: make(map[crashcause.Part]bool),
+		crashHistoryComplete: g.settings.FirstStart,
+		crashes:              crashcause.NewTracker(), crashReports: make(map[notice.Instance]crashcause.Crash), soundReports: make(map[crashcause.Part]int), staleGroupParts: make(map[crashcause.Part]bool),
 		engineRefusals: make(map[fleet.UpstreamID]*refusalHistory), drainingSince: make(map[fleet.UpstreamID]time.Time),
 	}
 }
--- a/pkg/gateway/crashingplain_test.go
+++ b/pkg/gateway/crashingplain_test.go
@@ -16,7 +16,8 @@
 	"github.com/cornelline/cornelline/pkg/standin/userplatform"
 )
 
-// plainFleet is a set of plain servers that end as they begin to run a request of /look/crash.
+// plainFleet is a set of plain servers that end as they begin to run a request of /look/crash or
+// /book/crash.
 type plainFleet struct {
 	d     *deployment
 	ended atomic.Int64
@@ -34,7 +35,7 @@
 		p := &userplatform.PlainServer{ID: fmt.Sprintf("c%d", i), Runs: d.runs}
 		var s *httptest.Server
 		s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if strings.HasPrefix(r.URL.Path, "/look/crash") {
+			if strings.HasSuffix(r.URL.Path, "/crash") {
 				f.end(s)
 				panic(http.ErrAbortHandler)
 			}
@@ -129,3 +130,49 @@
 	is.Equal(served.Load(), int64(requests))
 	is.True(strings.Contains(d.log.String(), `"run_broken"`))
 }
+
+// TestCrashesOutliveAReplacedFleet guards against a request that crashes servers for ever, since all VMs
+// that have seen its crashes are stopped in turn before these suffice for a verdict.
+func TestCrashesOutliveAReplacedFleet(t *testing.T) {
+	t.Parallel()
+	const comings, maxEnded = 5, 3
+	d := deploy(t)
+	d.settings.FirstStart = false
+	f := newPlainFleet(d, comings+1, 0)
+	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
+	type runningVM struct {
+		seed, address string
+		stop          func()
+		ended         chan error
+	}
+	start := func(id, seed string) runningVM {
+		s := d.settings
+		if id != "vm" {
+			s = d.settingsForVM(id)
+			s.Seeds = []string{seed}
+		}
+		d.startVM(s)
+		vm := runningVM{s.Self.PeerAddress, s.Self.Address, d.stop, d.ended}
+		d.settings.Self.Address = vm.address
+		d.eventually(id+" serves", func() bool {
+			return d.sendRequest(http.MethodPost, "/book/1", fmt.Sprint(id, time.Now().UnixNano()), "k", "x").status == http.StatusOK
+		})
+		return vm
+	}
+	vm := start("vm", "")
+	for n := range comings {
+		d.settings.Self.Address = vm.address
+		if got := d.sendRequest(http.MethodPost, "/book/crash", fmt.Sprint("c", n), "k", "x"); got.status == http.StatusOK {
+			t.Error("a server answered")
+		}
+		time.Sleep(1500 * time.Millisecond)
+		next := start(fmt.Sprint("vm", n+1), vm.seed)
+		vm.stop()
+		vm.ended <- <-vm.ended // also awaited at the end of the test
+		vm = next
+		time.Sleep(4500 * time.Millisecond) // a trial is due
+	}
+	if ended := f.ended.Load(); ended < 1 || ended > maxEnded {
+		t.Errorf("%d servers ended, want 1 to %d", ended, maxEnded)
+	}
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -88,10 +88,14 @@
 func (g *Gateway) answer(ctx context.Context, from wire.Peer, m wire.Message) (wire.Message, error) {
 	if _, ok := m.(*peering.ListWant); ok {
 		offer, err := g.offerList(ctx)
-		if err == nil && from.Supports(wire.SizedLists) {
-			return &peering.SizedListOffer{Offer: *offer, FleetSize: int(g.toldVMs.Load())}, nil
+		if err != nil || !from.Supports(wire.SizedLists) {
+			return offer, err
 		}
-		return offer, err
+		sized := peering.SizedListOffer{Offer: *offer, FleetSize: int(g.toldVMs.Load())}
+		if !from.Supports(wire.CrashHistories) {
+			return &sized, nil
+		}
+		return g.startOffer(ctx, sized)
 	}
 	want, ok := m.(*peering.ConfigWant)
 	if !ok {
@@ -183,7 +187,7 @@
 	if offered := (storeera.Version{RevertEra: s.RevertEra, Number: s.ConfigVersion}); c.configuration.ObserveOffer(offered) {
 		c.fetchConfig(s.VM)
 	}
-	if s.HasList && (!c.listKnown || !c.peerListReceived) {
+	if s.HasList && (!c.listKnown || !c.peerListReceived || c.wantsCrashHistory(now)) {
 		c.fetchList(s.VM)
 	}
 }
@@ -432,6 +436,10 @@
 		ctx, cancel := context.WithTimeout(c.g.runCtx, fetchTimeout)
 		defer cancel()
 		answer, err := c.g.peers.Call(ctx, address, &peering.ListWant{})
+		if start, ok := answer.(*peering.StartOffer); ok {
+			c.post(func(now time.Time) { c.adoptCrashHistory(now, start) })
+			answer = &start.Sized
+		}
 		if sized, ok := answer.(*peering.SizedListOffer); ok {
 			c.post(func(time.Time) { c.recordTold(sized.FleetSize) })
 			answer = &sized.Offer
--- a/pkg/peering/message.go
+++ b/pkg/peering/message.go
@@ -121,6 +121,16 @@
 	FleetSize int
 }
 
+// StartOffer answers a ListWant of a VM of a build that reads it.
+type StartOffer struct {
+	Sized SizedListOffer
+	// Crashes is what the answering VM knows of upstreams that crashed.
+	Crashes crashcause.History
+	// CrashesComplete is set if the answering VM has run for long enough to know what the others know,
+	// or has itself got an answer with this field.
+	CrashesComplete bool
+}
+
 // CrashEvidence tells what a VM has seen of upstreams that crashed.
 type CrashEvidence struct {
 	// Crashes are the upstreams that crashed, with the VM's runs on them.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -173,6 +173,8 @@
 	waiting        []*waitingRequest
 	permits        []*permit
 	parts          parts
+	// joined holds the VMs that joined lately.
+	joined []*joinedVM
 }
 
 // New returns a tracker for the VM self. Until SetVMs is called, self is the only VM.
@@ -197,6 +199,7 @@
 	if len(t.vms) > 1 {
 		t.noGrantsBefore = now.Add(t.cfg.PermitDuration / 2)
 	}
+	t.recordJoined(now, vms)
 	t.vms = vms
 }
 
@@ -421,6 +424,7 @@
 	t.parts.causes.SetAlone(len(t.vms) <= 1)
 	t.parts.update(now)
 	t.expire(now)
+	out = t.handOver(now, out)
 	out = t.updateWaiting(now, out)
 	out = t.renewPermits(now, out)
 	return t.expirePermits(now, out)
--- a/pkg/wire/compat_test.go
+++ b/pkg/wire/compat_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/cornelline/cornelline/pkg/crashcause"
+	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/peering"
 	"github.com/cornelline/cornelline/pkg/storeera"
 )
@@ -34,6 +37,37 @@
 	is.Equal(offer, formerOffer{Data: []byte("x"), RevertEra: 3})
 }
 
+// TestStartOffer guards against a VM that starts and cannot read what another one knows, and against a
+// changed answer to VMs of the former build, which read a SizedListOffer.
+func TestStartOffer(t *testing.T) {
+	is := is.New(t)
+	crash := crashcause.Crash{Upstream: notice.Instance{ID: "s", StartMillis: 5}, Runs: []crashcause.Run{{Starting: true, Request: 7, Parts: []crashcause.Part{1}}}}
+	sent := &peering.StartOffer{
+		Sized: peering.SizedListOffer{FleetSize: 4},
+		Crashes: crashcause.History{
+			Groups:  []crashcause.PastGroup{{Parts: []crashcause.Part{2}, Crashes: 3, FailedTrials: 1, Ago: time.Minute}},
+			Crashes: []crashcause.PastCrash{{Crash: crash, Ago: time.Second}}, Sound: []crashcause.Part{1},
+			Cleared: []crashcause.ClearedPart{{Part: 1, Ago: time.Hour}},
+		},
+		CrashesComplete: true,
+	}
+	kind, payload, err := Encode(sent)
+	is.NoErr(err)
+	got, err := Decode(kind, payload)
+	is.NoErr(err)
+	is.Equal(got, sent)
+
+	type formerSized struct {
+		Offer     peering.ListOffer
+		FleetSize int
+	}
+	_, payload, err = Encode(&sent.Sized)
+	is.NoErr(err)
+	var former formerSized
+	is.NoErr(msgpack.Unmarshal(payload, &former))
+	is.Equal(former.FleetSize, 4)
+}
+
 // TestFeaturesOfPeers guards against a VM of a former build that is sent what it cannot read. Its
 // hello message ends with the nonce.
 func TestFeaturesOfPeers(t *testing.T) {
--- a/pkg/wire/handshake.go
+++ b/pkg/wire/handshake.go
@@ -54,8 +54,11 @@
 // SizedLists: the peer reads lists of upstreams with the size of the fleet.
 const SizedLists Feature = 2
 
+// CrashHistories is the ability to read peering.StartOffer.
+const CrashHistories Feature = 4
+
 // ownFeatures are the abilities of this build.
-const ownFeatures = CompressedConfig | SizedLists
+const ownFeatures = CompressedConfig | SizedLists | CrashHistories
 
 // Peer identifies the other side of a connection.
 type Peer struct {
--- a/pkg/wire/message.go
+++ b/pkg/wire/message.go
@@ -48,6 +48,7 @@
 	KindListWant
 	KindListOffer
 	KindSizedListOffer
+	KindStartOffer
 )
 
 // Message is a pointer to one of the types in messageTypes.
@@ -90,6 +91,7 @@
 	KindListOffer:     reflect.TypeFor[peering.ListOffer](),
 
 	KindSizedListOffer: reflect.TypeFor[peering.SizedListOffer](),
+	KindStartOffer:     reflect.TypeFor[peering.StartOffer](),
 }
 
 var messageKinds = invertMessageTypes(messageTypes)
