--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -6,8 +6,9 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 	"time"
+
+	"github.com/cornelline/cornelline/pkg/exchange"
 )
 
 const (
@@ -24,7 +25,7 @@
 	defer cancel()
 	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return exchange.IsConnectionRefused(err)
 	}
 	defer conn.Close()
 	if err := conn.SetReadDeadline(time.Now().Add(exitTime)); err != nil {
@@ -35,7 +36,7 @@
 	}
 	again, err := dial(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return exchange.IsConnectionRefused(err)
 	}
 	_ = again.Close()
 	return false
--- a/pkg/crashcause/suspicion.go
+++ b/pkg/crashcause/suspicion.go
@@ -144,23 +144,15 @@
 		if !r.Starting || explained && !r.isUnshown() {
 			continue
 		}
-		undecidedUntil := now
-		if !t.alone {
-			undecidedUntil = now.Add(ReportingTime)
-		}
 		switch {
 		case !r.isUnshown():
 			t.suspect(now, c, r.Request, time.Time{}, suspicionTrialAfter)
 		case !t.known.contains(r.Request):
-			requestUndecidedUntil := now
-			if !t.alone {
-				requestUndecidedUntil = now.Add(HeardTime)
-			}
-			t.suspect(now, c, r.Request, requestUndecidedUntil, unshownTrialAfter)
+			t.suspect(now, c, r.Request, t.undecidedUntil(now, HeardTime), unshownTrialAfter)
 		}
 		for _, p := range r.Parts {
 			if !t.known.contains(p) {
-				t.suspect(now, c, p, undecidedUntil, suspicionTrialAfter)
+				t.suspect(now, c, p, t.undecidedUntil(now, ReportingTime), suspicionTrialAfter)
 			}
 		}
 	}
@@ -169,6 +161,15 @@
 	}
 }
 
+// undecidedUntil returns the end of the time in which other VMs, if there are any, may say that a part
+// is sound.
+func (t *Tracker) undecidedUntil(now time.Time, wait time.Duration) time.Time {
+	if t.alone {
+		return now
+	}
+	return now.Add(wait)
+}
+
 // suspectRepeated suspects the requests that were running at another crash within roundGap as well,
 // where the upstreams do not show which answer was about to begin. Both crashes are one observation
 // for a group.
