A VM that starts knows how long the store has been healthy

Streams on such engines were cut soon after they began.

Cause: an entry that is removed while the store recovers from an outage is kept for 2.5 s, as it may be renewed. How long the store has been healthy comes with each listing, from the VM that reads the list for all. A VM that starts gets the list from another VM; that offer didn't say how long, which counts as "since now". If the VM then becomes the reader, all VMs keep the entries that are removed in its first 2.5 s. Rolling stops make that common.

Change: the offer says how long the store has been healthy for the VM that makes it. The field was part of the message before, so that VMs of the former build fill it with zero and read it as before. The opposite, an entry that is missing after an outage and may be renewed, is held by TestReadersStoreHealthDecides and TestEntriesThatLapseInAnOutageMayBeRenewed.

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -472,7 +472,23 @@
 	case <-time.After(fetchTimeout): // the list follower is blocked in a read from the store
 		return &peering.ListOffer{}, nil
 	}
-	return &peering.ListOffer{Listing: <-answer, Ending: g.notices.allShutdowns()}, nil
+	offer := &peering.ListOffer{Listing: <-answer, Ending: g.notices.allShutdowns()}
+	offer.StoreHealthyFor = g.storeHealthyFor(ctx)
+	return offer, nil
+}
+
+// storeHealthyFor returns how long the store has answered without a failure, or 0 if the control
+// goroutine does not say in time.
+func (g *Gateway) storeHealthyFor(ctx context.Context) time.Duration {
+	answer := make(chan time.Duration, 1)
+	g.control.post(func(now time.Time) { answer <- g.control.roster.StoreHealthyFor(now) })
+	select {
+	case healthy := <-answer:
+		return healthy
+	case <-ctx.Done():
+	case <-time.After(fetchTimeout):
+	}
+	return 0
 }
 
 // enqueueListing passes another VM's listing to the list follower.
