Planned ends of engines use up no attempts of a stream

Cause: each run with an unknown outcome counted as an attempt. The attempts of a route bound how often a request may harm servers or run; an engine that ends as it announced says nothing about the request.

Change: a run whose stream its first engine broke off after its entry said that it drains, or was gone, does not count. The retry budget, the deadline and the caller bound such runs as before. Runs that this VM ends itself (moves, stalls) still count, as do breaks by engines that have announced nothing.

--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -71,6 +71,9 @@
 	longestGap time.Duration
 	// unknownRuns counts the runs that ended with an unknown outcome.
 	unknownRuns int
+	// attempts counts those of them that use up the route's attempts. Runs that a server broke off as
+	// it ended according to plan do not, as they say nothing about the request.
+	attempts int
 	// refusals counts the runs that a chain refused or that could not start.
 	refusals int
 	// queueWait is the time that the request spent in the queue.
@@ -232,6 +235,9 @@
 			g.refusals++
 		case outcomeUnknown:
 			g.unknownRuns++
+			if !errors.Is(cause, errPlannedEnd) {
+				g.attempts++
+			}
 		}
 		if g.suspected || errors.Is(cause, errCrashesUpstreams) {
 			if next != nil {
@@ -402,10 +408,16 @@
 	return action.Chain
 }
 
+// mayFail reports whether the route allows another run if the one that is about to begin, or is under
+// way, ends with an unknown outcome.
+func (g *generation) mayFail() bool {
+	return g.route.Resumable && g.attempts+1 < max(g.route.MaxAttempts, 1)
+}
+
 // canContinue reports whether another run is allowed.
 func (g *generation) canContinue(outcome sendOutcome) bool {
 	switch {
-	case outcome == outcomeUnknown && (!g.route.Resumable || g.unknownRuns >= max(g.route.MaxAttempts, 1)):
+	case outcome == outcomeUnknown && (!g.route.Resumable || g.attempts >= max(g.route.MaxAttempts, 1)):
 		return false
 	case outcome == outcomeNotRun && g.refusals > maxChainRefusals && !g.headerSent:
 		return false
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -156,7 +157,7 @@
 	if response.Status >= http.StatusInternalServerError {
 		g.gateway.stats.Count("upstream_errors")
 		g.gateway.control.recordFailure(firstServer)
-		if g.route.Resumable && g.unknownRuns+1 < max(g.route.MaxAttempts, 1) && g.timeRemaining() >= minRunTime {
+		if g.mayFail() && g.timeRemaining() >= minRunTime {
 			g.avoidedUpstreams[firstServer] = true
 			return outcomeUnknown, errServerFailed
 		}
@@ -213,7 +214,7 @@
 		if g.splitter.HasPartial() || !g.headerSent || endsEarly {
 			g.gateway.control.recordFailure(r.chain.Stages[0].Server)
 			g.reportBroken(r.firstInstance(), g.brokenState(r))
-			return outcomeUnknown, io.ErrUnexpectedEOF
+			return outcomeUnknown, g.breakCause(r, io.ErrUnexpectedEOF)
 		}
 		g.reportSound(true)
 		if g.caller.LastEventID == "" { // else other VMs sent a part of the answer
@@ -269,5 +270,16 @@
 	for _, stage := range r.currentStages() { // any of them may have failed
 		g.gateway.control.requestProbe(stage.Server)
 	}
-	return outcomeUnknown, err
+	return outcomeUnknown, g.breakCause(r, err)
+}
+
+// errPlannedEnd means that a run broke off because its first server ended, as it had announced.
+var errPlannedEnd = errors.New("first server of the chain has left")
+
+// breakCause returns the cause of the end of a run whose stream broke off with an error.
+func (g *generation) breakCause(r *run, err error) error {
+	if g.gateway.view.Load().leaving[r.chain.Stages[0].Server] {
+		return fmt.Errorf("%w: %w", errPlannedEnd, err)
+	}
+	return err
 }
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -77,7 +77,7 @@
 // newRun returns a run of a generation on a chain.
 func newRun(g *generation, c *chain.Chain) *run {
 	r := &run{chain: c, path: runPath{current: c}, generation: g, startedAt: time.Now(), eventsBefore: g.eventsForwarded}
-	r.resumable = g.route.Resumable && g.unknownRuns+1 < max(g.route.MaxAttempts, 1)
+	r.resumable = g.mayFail()
 	r.stallRun = stall.Run{ExpectedFirstEvent: c.ExpectedFirstEvent, GapObjective: g.route.GapObjective, LastEvent: r.startedAt}
 	r.stallRun.Stages, r.stallRun.DataCentres = stageServers(c.Stages)
 	return r
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -44,6 +44,8 @@
 	listKnown bool
 	// ejected holds the upstreams that this VM has ejected.
 	ejected map[fleet.UpstreamID]bool
+	// leaving holds the upstreams that have announced their end or whose entry is gone.
+	leaving map[fleet.UpstreamID]bool
 }
 
 // plainServer is a server of a plain service.
@@ -70,6 +72,10 @@
 		catalog: c.catalog, upstreams: list, listKnown: c.listKnown,
 		gates: make(map[catalog.ServiceID]*gate), plain: make(map[catalog.ServiceID][]plainServer),
 		byAddress: make(map[string]fleet.UpstreamID, len(list)), ejected: make(map[fleet.UpstreamID]bool),
+		leaving: make(map[fleet.UpstreamID]bool, len(c.drainingSince)),
+	}
+	for id := range c.drainingSince {
+		v.leaving[id] = true
 	}
 	c.fillVMs(v)
 	v.assumedVMs, v.assumedNearVMs = max(v.vms, c.sight.caution.VMs), max(v.nearVMs, c.sight.caution.NearVMs)
