Requests in flight at the exit of a stopping VM get final answers

What callers saw: a request that was still in flight when a stopping VM exited lost its connection without an answer, and the VM's log had only the number of such requests (drain_ended), not what became of each.

Cause: at the end of the grace time the process ended under its requests.

What has not run is refused, what may have run gets 502 with an unknown outcome, and a stream is cut and logged (stream_broken, "this VM exits before a run could end").

Evidence: TestExitAnswersWhatIsInFlight: with a grace time of 4 s a booking that hangs at its server gets its 502, a stream without an end is cut, the VM exits within the grace time, and a second VM continues the stream after the last event that came.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -86,7 +86,10 @@
 		c.fail(err)
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), c.answerDeadline, errDeadline)
+	ctx, interrupt := context.WithCancelCause(r.Context())
+	defer interrupt(nil)
+	defer context.AfterFunc(g.exitCtx, func() { interrupt(errExit) })()
+	ctx, cancel := context.WithDeadlineCause(ctx, c.answerDeadline, errDeadline)
 	defer cancel()
 	c.ctx = ctx
 	c.print = c.fingerprint()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -155,6 +155,10 @@
 	reporter *intakehttp.Reporter
 
 	front, directory, ready, metrics *khttp.Server
+	// exitCtx ends when the grace time of a stop is over: requests still in flight end.
+	exitCtx context.Context
+	// endRequests ends exitCtx.
+	endRequests context.CancelFunc
 	// runCtx ends when the gateway stops.
 	runCtx context.Context
 	cancel context.CancelFunc
@@ -183,6 +187,7 @@
 	g.platformBounds.Store(&settings.Bounds)
 	g.setRetryLimits(g.started)
 	g.runCtx, g.cancel = context.WithCancel(context.Background())
+	g.exitCtx, g.endRequests = context.WithCancel(context.Background())
 	g.control = newControl(g)
 	if err := g.openListeners(); err != nil {
 		g.cancel()
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -117,6 +117,10 @@
 		if c.callerGone() {
 			c.abortCancelled()
 		}
+		if errors.Is(context.Cause(c.ctx), errExit) { // it waited in the queue
+			c.refuse(result.Draining, c.drainRetryAfter(0))
+			return
+		}
 		c.refuse(result.DeadlineCannotBeMet, jitter(time.Second))
 		return
 	}
@@ -285,7 +289,7 @@
 	})
 }
 
-// errExit means that a run was not started because of the exit of this VM.
+// errExit means that the exit of this VM ended a request, or that a run was not started because of it.
 var errExit = errors.New("this VM exits before a run could end")
 
 // endForExit ends a generation that needs a run which the exit of this VM would interrupt. The
@@ -308,7 +312,11 @@
 		g.abortCancelled()
 	}
 	if g.headerSent {
-		g.abortStream(result.DeadlineExceeded, cause)
+		code := result.DeadlineExceeded
+		if errors.Is(cause, errExit) {
+			code = result.StreamBroken
+		}
+		g.abortStream(code, cause)
 	}
 	g.answerContextEnd(cause)
 }
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -57,7 +57,7 @@
 	outcomeNotRun
 	// outcomeUnknown: the request may have run or may still run.
 	outcomeUnknown
-	// outcomeContextEnded: the caller has disconnected, or the deadline has passed.
+	// outcomeContextEnded: the caller has disconnected, the deadline has passed or this VM exits.
 	outcomeContextEnded
 )
 
@@ -86,7 +86,7 @@
 			c.answerContextEnd(cause)
 			return
 		case outcomeNotRun:
-			if serversTried+1 < maxServersTried && c.deliveries < c.route.MaxAttempts && c.timeRemaining() > minSendTime && c.spendRetry(service, "not_run") {
+			if serversTried+1 < maxServersTried && c.deliveries < c.route.MaxAttempts && c.timeRemaining() > minSendTime && c.ctx.Err() == nil && c.spendRetry(service, "not_run") {
 				continue
 			}
 			_, unavailable = c.pickPlainServer(service, avoid) // finds out why no other server is available
@@ -138,13 +138,17 @@
 	return time.Duration((0.5 + random()) * float64(d))
 }
 
-// answerContextEnd answers a request whose context ended: the caller has disconnected, or
-// the deadline has passed.
+// answerContextEnd answers a request whose context ended: the caller has disconnected, the
+// deadline has passed or this VM exits.
 func (c *call) answerContextEnd(cause error) {
 	if c.callerGone() {
 		c.abortCancelled()
 		return
 	}
+	if errors.Is(cause, errExit) {
+		c.fail(result.New(result.UpstreamOutcomeUnknown, result.OutcomeUnknown, "this VM exits before the answer").WithCause(cause))
+		return
+	}
 	c.fail(result.New(result.DeadlineExceeded, result.OutcomeUnknown, "no answer in time").WithCause(cause))
 }
 
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -27,6 +27,9 @@
 	plainRejectBefore = 700 * time.Millisecond
 	// drainPollInterval is the interval at which a stopping VM checks whether it can exit.
 	drainPollInterval = 50 * time.Millisecond
+	// finalAnswersTimeout bounds the time for the final answers of the requests that the exit ends. It
+	// is a part of killReserve.
+	finalAnswersTimeout = 200 * time.Millisecond
 )
 
 // shutdown counts the requests in flight and tracks a planned stop of this VM. It is safe
@@ -118,6 +121,8 @@
 		time.Sleep(drainPollInterval)
 	}
 	g.shutdown.rejectNew()
+	interrupted := g.shutdown.inFlightCount()
+	g.answerInFlight()
 	leaveSent := make(chan struct{})
 	g.control.post(func(now time.Time) {
 		g.control.applyMembershipActions(g.control.members.Leave(now))
@@ -127,5 +132,14 @@
 	case <-leaveSent:
 	case <-time.After(drainPollInterval):
 	}
-	g.log.Log(event.DrainEnded).Int64("waited_ms", time.Since(began).Milliseconds()).Int("in_flight", g.shutdown.inFlightCount()).Send()
+	g.log.Log(event.DrainEnded).Int64("waited_ms", time.Since(began).Milliseconds()).Int("in_flight", interrupted).Send()
+}
+
+// answerInFlight ends the requests in flight, so that their callers get final answers and the log says
+// what became of them. The end of the process would only close the connections.
+func (g *Gateway) answerInFlight() {
+	g.endRequests()
+	for until := time.Now().Add(finalAnswersTimeout); g.shutdown.inFlightCount() > 0 && time.Now().Before(until); {
+		time.Sleep(finalAnswersTimeout / 10)
+	}
 }
--- a/pkg/gateway/stopstream_test.go
+++ b/pkg/gateway/stopstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -170,3 +171,59 @@
 	is.Equal(r.status, http.StatusBadGateway)
 	is.Equal(d.runs.Count("cut"), 1)
 }
+
+// TestExitAnswersWhatIsInFlight guards against callers that only see their connection close when a
+// stopping VM exits, against a log that doesn't say what became of their requests, and against a VM that
+// outlasts its grace time for a stream without an end. A stream that the exit cuts goes on at another VM.
+func TestExitAnswersWhatIsInFlight(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const grace, events = 4 * time.Second, 1_000_000
+	d := deploy(t)
+	d.settings.Bounds.Grace = grace
+	for _, e := range d.engines {
+		e.EventCount, e.EventInterval = events, 20*time.Millisecond
+	}
+	d.store.Put("keyed.op", "config", config(1, 10_000, "k"))
+	d.start()
+	stop, ended := d.stop, d.ended
+	second := d.settingsForVM("vn")
+	d.startVM(second)
+	d.eventually("layers are placed", d.allHoldLayers)
+	s := d.openStreamOf("s", largeAnswer)
+	hangs := make(chan reply, 1)
+	for _, p := range d.plain {
+		p.SetFault("hang")
+	}
+	go func() { hangs <- d.sendRequest(http.MethodPost, "/book/1", "b", "k", "x") }()
+	d.eventually("the booking runs", func() bool { return d.runs.Count("b") == 1 })
+	ordered := time.Now()
+	stop()
+	booking := <-hangs
+	is.NoErr(booking.err)
+	is.Equal(booking.status, http.StatusBadGateway)
+	err := <-ended
+	is.NoErr(err)
+	is.True(time.Since(ordered) < grace)
+	ended <- err // for the end of the test
+	cut := <-s.done
+	is.True(cut.err != nil) // not complete
+	is.True(d.logged(`"stream_broken"`, requestField(s.id), "this VM exits"))
+	got := strings.Count(cut.body, "\n\n")
+	checkStream(t, cut.body, 1, got)
+	is.True(got < events)
+
+	d.settings = second
+	ending := userplatform.Ending{Streams: &atomic.Int32{}, Events: 10}
+	ending.Streams.Store(1)
+	for _, e := range d.engines {
+		e.SetEnding(ending)
+	}
+	var rest reply
+	d.eventually("the other VM serves it", func() bool {
+		rest = d.sendGeneration("rest"+strconv.Itoa(time.Now().Nanosecond()), largeAnswer.MaxTokens, got)
+		return rest.status == http.StatusOK
+	})
+	is.NoErr(rest.err)
+	checkStream(t, rest.body, got+1, got+10)
+}
--- a/pkg/standin/userplatform/servers.go
+++ b/pkg/standin/userplatform/servers.go
@@ -50,6 +50,7 @@
 	//   - "error": status 500 after the request ran
 	//   - "refuse": status 503 without that header, after the request ran
 	//   - "extra": the answer is followed by a second one, to another request
+	//   - "hang": not before the caller disconnects, after the request ran
 	fault string
 	// broken is sent instead of an answer after the request ran; nil for none.
 	broken *standin.BrokenAnswer
@@ -158,6 +159,10 @@
 	switch fault {
 	case "reset":
 		panic(http.ErrAbortHandler)
+	case "hang":
+		_, _ = io.Copy(io.Discard, r.Body) // otherwise the server does not notice the end of the connection
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	case "error":
 		w.WriteHeader(http.StatusInternalServerError)
 	case "refuse":
