Logs: which limit denies a retry, and whether an order to an engine cuts

Cause: a stream that gets no further run is logged with "retry_denied" whatever the limit was, and an order to an engine that ends the requests on its layers looks like one that waits for them.

Change: retry_denied has the limit (after_start, migrations, share), placement_ordered has cut.

--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -50,11 +50,11 @@
 	b.budget(now, serviceKey(service)).RecordRequest(now)
 }
 
-// allow takes one retry from a service's budget and reports whether it is granted.
-func (b *retryBudgets) allow(now time.Time, service catalog.ServiceID, migration bool) bool {
+// take takes one retry from a service's budget, or returns the limit that denies it.
+func (b *retryBudgets) take(now time.Time, service catalog.ServiceID, migration bool) retry.Limit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget(now, serviceKey(service)).Allow(now, migration, random())
+	return b.budget(now, serviceKey(service)).Take(now, migration, random())
 }
 
 // recordPeerUsage records the usage of the budgets that another VM reported.
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -280,7 +280,7 @@
 		}
 		l.g.stats.Count("orders", "result", result.String())
 		l.g.log.Log(event.PlacementOrdered).Str("upstream", string(u.ID)).Stringer("layers", target).Stringer("held", report.Layers).
-			Uint64("epoch", fencingToken).Int("expected", report.AcceptedOrders).Str("result", result.String()).AnErr("cause", err).Send()
+			Uint64("epoch", fencingToken).Int("expected", report.AcceptedOrders).Bool("cut", abortRequests).Str("result", result.String()).AnErr("cause", err).Send()
 		if result == platform.OrderBegun || result == platform.OrderUnknown {
 			l.checkLoad(u, loadDuration)
 		}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -20,6 +20,7 @@
 	"github.com/cornelline/cornelline/pkg/handover"
 	"github.com/cornelline/cornelline/pkg/notice"
 	"github.com/cornelline/cornelline/pkg/result"
+	"github.com/cornelline/cornelline/pkg/retry"
 	"github.com/cornelline/cornelline/platform"
 )
 
@@ -173,9 +174,9 @@
 	if c.callerGone() {
 		return false
 	}
-	if !c.gateway.retryBudgets.allow(time.Now(), service.ID, migration) {
+	if limit := c.gateway.retryBudgets.take(time.Now(), service.ID, migration); limit != retry.NoLimit {
 		c.gateway.stats.Count("retries_denied", "reason", reasonLabel)
-		c.logLine(event.RetryDenied).Str("reason", reasonLabel).Send()
+		c.logLine(event.RetryDenied).Str("reason", reasonLabel).Str("limit", string(limit)).Send()
 		return false
 	}
 	c.gateway.stats.Retried(reasonLabel)
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -151,10 +151,30 @@
 	p.remoteUsage[process{vm, startedAt}] = processUsage{Usage: u, receivedAt: now}
 }
 
+// Limit names the limit of a SharedBudget that denies a retry.
+type Limit string
+
+// The limits of a SharedBudget.
+const (
+	// NoLimit grants the retry.
+	NoLimit Limit = ""
+	// LimitAfterStart applies to a process that does not know what its predecessor used.
+	LimitAfterStart Limit = "after_start"
+	// LimitMigrations is the share of the budget for runs that could stay on their upstream.
+	LimitMigrations Limit = "migrations"
+	// LimitShare is this VM's share of what remains of the budget.
+	LimitShare Limit = "share"
+)
+
 // Allow takes one retry from the budget if that is possible and reports whether it did.
 // migration is set for a run that could stay on its upstream. random is a random number
 // in [0, 1).
 func (p *SharedBudget) Allow(now time.Time, migration bool, random float64) bool {
+	return p.Take(now, migration, random) == NoLimit
+}
+
+// Take is Allow that names the limit which denies the retry.
+func (p *SharedBudget) Take(now time.Time, migration bool, random float64) Limit {
 	own, recentGrants := p.Usage(now), p.recentlyGranted(now)
 	all := own
 	for id, u := range p.remoteUsage {
@@ -168,18 +188,18 @@
 	budget := safetyFactor * (p.cfg.Ratio*all.Requests + p.cfg.Slack*float64(max(p.cfg.ReachableVMs, 1))/recentVMs)
 	switch {
 	case p.cfg.RecentlyStarted && own.Granted+1 > safetyFactor*p.cfg.Ratio*own.Requests:
-		return false
+		return LimitAfterStart
 	case migration && all.Migrations+1 > p.cfg.MigrationShare*budget:
-		return false
+		return LimitMigrations
 	case !p.takeFromShare(now, recentGrants, (budget-(all.Granted-recentGrants))/float64(max(p.cfg.ReachableVMs, 1)), random):
-		return false
+		return LimitShare
 	}
 	slot := p.advance(now)
 	slot.Granted++
 	if migration {
 		slot.Migrations++
 	}
-	return true
+	return NoLimit
 }
 
 // takeFromShare reports whether one more retry is granted from this VM's share of the remaining
