A run that may be sound ends once its successor has begun

Cause: a move ended its run as soon as another chain was reserved. Whether that chain accepts is known only after it was asked: engines refuse from the moment at which they drain or give up layers, up to 0.7 s before the VMs learn of it. Further runs ask the retry budget.

Change: the next run begins while the former one goes on, which ends when the first event of the next one has arrived; events that both bring are sent once. A refused move changes nothing; one that may have run uses up an attempt. handover.VM.Leaves decides, also for a silence without a known cause and for crowded paths; a run whose VM exits before its engine ends stays. The own front end moves no runs.

Why it works: there is no time at which a stream depends on a chain that has not accepted it, so neither a refusal nor the budget can end it.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -37,6 +37,8 @@
 	RunRerouted      ID = 215
 	CrashSuspected   ID = 216
 	CrashTrialBegun  ID = 217
+	RunMoved         ID = 218
+	MoveRefused      ID = 219
 )
 
 // Pipeline events.
@@ -117,6 +119,8 @@
 	RunRerouted:      {"run_rerouted", zerolog.InfoLevel},
 	CrashSuspected:   {"crash_suspected", zerolog.InfoLevel},
 	CrashTrialBegun:  {"crash_trial_begun", zerolog.InfoLevel},
+	RunMoved:         {"run_moved", zerolog.InfoLevel},
+	MoveRefused:      {"move_refused", zerolog.InfoLevel},
 
 	LinesDropped:      {"lines_dropped", zerolog.WarnLevel},
 	Reloaded:          {"settings_reloaded", zerolog.InfoLevel},
--- a/pkg/eventstream/eventstream.go
+++ b/pkg/eventstream/eventstream.go
@@ -32,6 +32,8 @@
 	hasLastID bool
 	// lastID is the ID of the last event that had one, as in the stream.
 	lastID string
+	// repeated counts the events that were left out because they had been passed on before.
+	repeated int
 }
 
 // LastID returns the ID of the last event that had one, or the ID that ResumeAfter
@@ -41,6 +43,13 @@
 // HasLastID reports whether an event with an ID was passed on, or set by ResumeAfter.
 func (s *Splitter) HasLastID() bool { return s.hasLastID }
 
+// LastNumber returns the number of the last event that had one, 0 if there is none.
+func (s *Splitter) LastNumber() uint64 { return s.lastNumber }
+
+// Repeated returns the number of events that were left out so far because they had been passed on
+// before.
+func (s *Splitter) Repeated() int { return s.repeated }
+
 // HasPartial reports whether the stream so far ends within an event.
 func (s *Splitter) HasPartial() bool { return len(s.buffer) > 0 }
 
@@ -73,6 +82,7 @@
 		if id, ok := eventID(event); ok {
 			if numbered {
 				if s.hasLastID && number <= s.lastNumber {
+					s.repeated++
 					continue
 				}
 				s.lastNumber = number
--- a/pkg/eventstream/eventstream_test.go
+++ b/pkg/eventstream/eventstream_test.go
@@ -41,9 +41,12 @@
 	is.True(s.HasPartial())
 	s.DropPartial()
 	is.Equal(s.LastID(), "2")
+	is.Equal(s.Repeated(), 0)
 	whole, n, err = s.Feed([]byte("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"))
 	is.NoErr(err)
 	is.Equal(n, 1)
+	is.Equal(s.Repeated(), 1)
+	is.Equal(s.LastNumber(), uint64(3))
 	is.Equal(string(whole), "id: 3\ndata: c\n\n")
 }
 
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -218,17 +218,14 @@
 		g.endForExit()
 		return
 	}
+	current := &replacement{chain: c}
 	for {
 		if retryAfter, refused := g.crashesUpstreams(); refused {
-			g.gate.release(g.request, c)
+			g.drop(current)
 			g.endCrashing(retryAfter)
 			return
 		}
-		outcome, next, cause := g.runChain(c)
-		if next != nil && outcome != outcomeUnknown { // the run ended before it was migrated
-			g.gate.release(g.request, next)
-			next = nil
-		}
+		outcome, next, cause := g.runChain(current)
 		switch outcome {
 		case outcomeAnswered:
 			return
@@ -244,10 +241,8 @@
 			}
 		}
 		if g.suspected || errors.Is(cause, errCrashesUpstreams) {
-			if next != nil {
-				g.gate.release(g.request, next)
-				next = nil
-			}
+			g.drop(next)
+			next = nil
 			retryAfter, again := g.mayRunAgain()
 			if g.ctx.Err() != nil {
 				g.finishAfterContextEnd(context.Cause(g.ctx))
@@ -259,20 +254,25 @@
 			}
 		}
 		if next == nil {
-			next = g.awaitRetryChain(outcome)
-			if next == nil {
+			c := g.awaitRetryChain(outcome)
+			if c == nil {
 				g.failWithoutChain(outcome, cause)
 				return
 			}
-			if !g.beginsRun(next, g.eventsForwarded) {
-				g.gate.release(g.request, next)
+			if !g.beginsRun(c, g.eventsForwarded) {
+				g.gate.release(g.request, c)
 				g.endForExit()
 				return
 			}
+			next = &replacement{chain: c}
+		}
+		current = next
+		if next.move != nil {
+			g.logMove(next.move, cause)
+			continue
 		}
 		g.logLine(event.RequestRetried).Str("reason", retryReason(outcome)).AnErr("cause", cause).Str("after_event", g.splitter.LastID()).
 			Int("runs", g.unknownRuns).Int("refusals", g.refusals).Send()
-		c = next
 	}
 }
 
@@ -418,14 +418,18 @@
 
 // mayFail reports whether the route allows another run if the one that is about to begin, or is under
 // way, ends with an unknown outcome.
-func (g *generation) mayFail() bool {
-	return g.route.Resumable && g.attempts+1 < max(g.route.MaxAttempts, 1)
+func (g *generation) mayFail() bool { return g.mayRunAfter(g.attempts + 1) }
+
+// mayRunAfter reports whether the route allows another run after one with an unknown outcome, given the
+// number of attempts that are used up.
+func (g *generation) mayRunAfter(attempts int) bool {
+	return g.route.Resumable && attempts < max(g.route.MaxAttempts, 1)
 }
 
 // canContinue reports whether another run is allowed.
 func (g *generation) canContinue(outcome sendOutcome) bool {
 	switch {
-	case outcome == outcomeUnknown && (!g.route.Resumable || g.attempts >= max(g.route.MaxAttempts, 1)):
+	case outcome == outcomeUnknown && !g.mayRunAfter(g.attempts):
 		return false
 	case outcome == outcomeNotRun && g.refusals > maxChainRefusals && !g.headerSent:
 		return false
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -22,16 +22,40 @@
 // relayBufferSize is the size of one read from a stream, enough for some tens of events.
 const relayBufferSize = 8 << 10
 
-// runChain runs the generation on one chain and then releases it. It also returns the chain
-// that the control goroutine reserved to replace this one, if any; the caller must use or
-// release it, also if the run ended before the replacement took effect.
-func (g *generation) runChain(c *chain.Chain) (sendOutcome, *chain.Chain, error) {
-	r := newRun(g, c)
+// runChain runs the generation on a chain, or relays the run that a move has begun there, and then
+// releases the chain. It also returns what continues the generation, if its chain was reserved before the
+// run ended; the caller must use or drop it.
+func (g *generation) runChain(next *replacement) (sendOutcome, *replacement, error) {
+	var r *run
+	execute := g.execute
+	if next.move == nil {
+		r = newRun(g, next.chain, g.eventsForwarded, g.attempts)
+	} else {
+		r = next.move.run
+		r.eventsBefore, r.attemptsBefore = g.eventsForwarded, g.attempts
+		execute = func(r *run) (sendOutcome, error) { return g.executeMoved(next.move) }
+	}
 	defer r.release() // also after a panic
-	outcome, cause := g.execute(r)
+	defer func() { g.drop(r.markEnded()) }()
+	outcome, cause := execute(r)
 	g.gate.recordDuration(r)
 	g.eventsForwarded += r.events.Load()
-	return outcome, r.markEnded(), cause
+	successor := g.awaitSuccessor(r.markEnded(), outcome)
+	if failed := int(r.failedMoves.Load()); failed > 0 {
+		g.unknownRuns += failed
+		g.attempts += failed
+	}
+	return outcome, successor, cause
+}
+
+// executeMoved relays the answer of a run that a move has begun.
+func (g *generation) executeMoved(m *move) (sendOutcome, error) {
+	defer m.cancel(nil)
+	defer m.response.Close()
+	m.run.eventOffset.Store(int64(time.Since(m.run.startedAt))) // its first event has arrived
+	g.gateway.activeRuns.add(m.run)
+	defer g.gateway.activeRuns.remove(m.run)
+	return g.relay(m.ctx, m.run, m.response)
 }
 
 // execute sends the request to the first server of a run's chain and relays the answer.
@@ -45,16 +69,13 @@
 		g.avoidedUpstreams[id] = true
 		return outcomeNotRun, errServerUnavailable
 	}
-	head := platform.EncodeRequestHead(g.httpRequest, platform.ForwardHeaders{
-		Team: g.team, Instance: first.Server, TimeLeft: g.timeRemaining(), Chain: platformStages(c), LastEventID: g.splitter.LastID(), Urgency: min(g.rank, leastUrgent),
-	}, g.bodyLength)
-	g.logSend("", formatStages(c), g.timeRemaining())
+	request := g.runRequest(c, g.splitter.LastID())
 	if g.trial == nil && g.eventsForwarded == 0 {
 		r.parts = g.allParts()
 		g.gateway.pendingRuns.add(r)
 		defer g.gateway.pendingRuns.remove(r)
 	}
-	response, err := g.gateway.pool.Do(ctx, g.exchangeRequest(first.Address, head))
+	response, err := g.gateway.pool.Do(ctx, request)
 	if err != nil {
 		return g.classifyRunError(ctx, r.firstInstance(), err)
 	}
@@ -62,13 +83,15 @@
 	reply := platform.ParseReply(response.Status, response.Header)
 	g.gateway.recordNotice(first.Server, first.StartedAt, reply.Notice)
 	if reply.NotRun {
-		g.recordRefusingServer(reply, first.Server)
+		id := g.recordRefusingServer(reply, first.Server)
+		g.avoidedUpstreams[id] = true
+		g.logLine(event.ChainRefused).Str("upstream", string(id)).Bool("wrong_instance", reply.WrongInstance).Send()
 		return outcomeNotRun, errChainRefused
 	}
 	if response.Status != http.StatusOK {
 		return g.forwardFailure(first.Server, response, reply)
 	}
-	if !reply.Signed || reply.Encoded || !isEventStream(response.Header) {
+	if !isSoundStream(response, reply) {
 		g.gateway.control.recordFailure(first.Server)
 		return outcomeUnknown, errInvalidAnswer
 	}
@@ -77,6 +100,22 @@
 	return g.relay(ctx, r, response)
 }
 
+// runRequest returns the request of a run on a chain that goes on after an event, and logs that it is
+// sent.
+func (g *generation) runRequest(c *chain.Chain, lastEventID string) exchange.Request {
+	first := c.Stages[0]
+	head := platform.EncodeRequestHead(g.httpRequest, platform.ForwardHeaders{
+		Team: g.team, Instance: first.Server, TimeLeft: g.timeRemaining(), Chain: platformStages(c), LastEventID: lastEventID, Urgency: min(g.rank, leastUrgent),
+	}, g.bodyLength)
+	g.logSend("", formatStages(c), g.timeRemaining())
+	return g.exchangeRequest(first.Address, head)
+}
+
+// isSoundStream reports whether the head of an answer with status 200 is that of a signed event stream.
+func isSoundStream(response *exchange.Response, reply platform.Reply) bool {
+	return reply.Signed && !reply.Encoded && isEventStream(response.Header)
+}
+
 // isEventStream reports whether the headers of an answer name an event stream, or no type at all.
 func isEventStream(h http.Header) bool {
 	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
@@ -126,23 +165,22 @@
 	return outcome, cause
 }
 
-// recordRefusingServer logs and records the server that refused its part of the chain, so that
-// further runs avoid it. A refusal in which the first server asks for a pause neither counts
+// recordRefusingServer records the server that refused its part of the chain, so that new chains avoid
+// it, and returns it. A refusal in which the first server asks for a pause neither counts
 // towards draining nor causes a probe, since recordNotice has already recorded the pause.
-func (g *generation) recordRefusingServer(reply platform.Reply, firstServer fleet.UpstreamID) {
+func (g *generation) recordRefusingServer(reply platform.Reply, firstServer fleet.UpstreamID) fleet.UpstreamID {
 	id := firstServer
 	if reply.FaultAddress != "" {
 		if upstream, ok := g.gateway.view.Load().byAddress[reply.FaultAddress]; ok {
 			id = upstream
 		}
 	}
-	g.avoidedUpstreams[id] = true
 	g.gate.recordRefusal(id)
 	g.gateway.stats.Count("chain_refusals")
-	g.logLine(event.ChainRefused).Str("upstream", string(id)).Bool("wrong_instance", reply.WrongInstance).Send()
 	if reply.Pause == 0 || id != firstServer {
 		g.gateway.control.recordPartRefusal(id)
 	}
+	return id
 }
 
 // forwardFailure forwards an answer other than 200 to the caller. It returns outcomeUnknown
@@ -182,14 +220,19 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			repeatedBefore := g.splitter.Repeated()
 			complete, events, parseErr := g.splitter.Feed(buffer[:n])
-			if events > 0 {
-				now := time.Now()
-				if r.recordEvents(now, events) {
+			repeated := g.splitter.Repeated() - repeatedBefore
+			now := time.Now()
+			if events+repeated > 0 {
+				r.lastNumber.Store(g.splitter.LastNumber())
+				if r.recordEvents(now, events, repeated) {
 					g.gateway.pendingRuns.remove(r)
 					g.gate.recordFirstEvent(r.chain, r.startedAt)
 					g.gateway.control.recordSuccess(r.chain.Stages[0].Server, now.Sub(r.startedAt))
 				}
+			}
+			if events > 0 {
 				g.forwardEvents(now, response, complete)
 				if r.becameSound(now) {
 					g.reportSound(false)
@@ -210,7 +253,7 @@
 		}
 		// The end of the connection alone does not show that a run which sent no event had
 		// nothing more to send.
-		endsEarly := r.events.Load() == 0 && !response.Framed
+		endsEarly := r.produced.Load() == 0 && !response.Framed
 		if g.splitter.HasPartial() || !g.headerSent || endsEarly {
 			g.gateway.control.recordFailure(r.chain.Stages[0].Server)
 			g.reportBroken(r.firstInstance(), g.brokenState(r))
--- a/pkg/gateway/reroute.go
+++ b/pkg/gateway/reroute.go
@@ -185,11 +185,11 @@
 // says that one of them is known to be dead or about to end.
 func (c *control) continueOnItsChain(now time.Time, r *run, leave map[fleet.UpstreamID]bool, certain bool) bool {
 	s := &r.reroute
-	if s.mustMove && r.events.Load() > s.eventsBefore { // the order had its effect after all
+	if s.mustMove && r.produced.Load() > s.eventsBefore { // the order had its effect after all
 		s.mustMove = false
 	}
 	switch {
-	case s.next != nil && r.events.Load() > s.eventsBefore:
+	case s.next != nil && r.produced.Load() > s.eventsBefore:
 		c.endReroute(now, r, "resumed", nil)
 	case s.next != nil && now.After(s.deadline):
 		s.failed, s.mustMove = true, true
@@ -213,7 +213,7 @@
 	s, g := &r.reroute, r.generation
 	token := c.g.highestToken.Load()
 	switch {
-	case s.failed || s.orders >= maxRerouteOrders || now.Before(s.nextAt) || r.reservedChain.Load() != nil:
+	case s.failed || s.orders >= maxRerouteOrders || now.Before(s.nextAt) || r.replacement.Load() != nil:
 		return false
 	case g.timeRemaining() < minRunTime || g.isKnownToCrash() || c.rerouteFenced && token <= c.rerouteRefusedToken:
 		return false
@@ -242,14 +242,13 @@
 		c.g.stats.Count("reroutes", "result", "limited")
 		return false
 	}
-	if s.orders == 0 && r.resumable && c.isCrowded(r, next, now) {
+	if s.orders == 0 && r.isResumable() && c.isCrowded(r, next, now) {
 		for _, stage := range next.AddedStages() {
 			avoid[stage.Server] = true
 		}
-		if g.reserveReplacement(r, g.spendForResume, avoid) {
+		if c.leave(r, departure{cause: errRerouteCrowded, spendBudget: g.spendForResume, avoid: avoid}) {
 			g.gate.releasePending(next)
 			c.g.stats.Count("reroutes", "result", "crowded")
-			r.cancel(errRerouteCrowded)
 			return true
 		}
 	}
@@ -261,7 +260,7 @@
 		c.endReroute(now, r, "superseded", nil)
 	}
 	s.orders++
-	s.next, s.inFlight, s.orderedAt, s.eventsBefore, s.silence = next, true, now, r.events.Load(), now.Sub(r.lastActivity())
+	s.next, s.inFlight, s.orderedAt, s.eventsBefore, s.silence = next, true, now, r.produced.Load(), now.Sub(r.lastActivity())
 	s.deadline = now.Add(2 * rerouteOrderTimeout) // the answer may not reach this goroutine
 	if s.refused == nil {
 		s.refused = make(map[fleet.UpstreamID]bool)
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -40,7 +40,11 @@
 	// eventOffset is the time from startedAt to the last event, in nanoseconds; 0 before
 	// the first event.
 	eventOffset atomic.Int64
-	events      atomic.Int64
+	// produced counts the events that arrived, and events those of them that the caller had not got
+	// from an earlier run.
+	produced, events atomic.Int64
+	// lastNumber is the number of the last event that the caller got; 0 if events have none.
+	lastNumber atomic.Uint64
 	// firstEventAt is when the first event arrived.
 	firstEventAt time.Time
 	// firstEvents is the number of events that arrived then.
@@ -54,15 +58,17 @@
 	// stallRun is the record of the run for stall detection. Only the control goroutine uses
 	// it.
 	stallRun stall.Run
-	// resumable is set if another run may continue the stream.
-	resumable bool
+	// attemptsBefore is the number of the route's attempts that earlier runs of the generation used up.
+	attemptsBefore int
+	// failedMoves counts the moves of the run that failed, although the request may have run on the other
+	// chain. Each uses up an attempt.
+	failedMoves atomic.Int64
 	// generation is the request that the run serves.
 	generation *generation
 	// parts identify the request and the shared parts of its prompt while the run is in pendingRuns.
 	parts []crashcause.Part
-	// reservedChain is the chain that was reserved to replace this one before the run was
-	// ended, or runEnded once the run has ended.
-	reservedChain atomic.Pointer[chain.Chain]
+	// replacement is the chain that was reserved to replace this one, or runEnded once the run has ended.
+	replacement atomic.Pointer[replacement]
 	// nextMigrationAt is the earliest time of the next attempt to reserve such a chain. Only
 	// the control goroutine uses it.
 	nextMigrationAt time.Time
@@ -70,14 +76,14 @@
 	reroute rerouteState
 }
 
-// runEnded is the value of reservedChain after the run has ended. No chain may then be reserved
+// runEnded is the value of replacement after the run has ended. No chain may then be reserved
 // for the run, because nothing would release it.
-var runEnded = new(chain.Chain)
+var runEnded = new(replacement)
 
-// newRun returns a run of a generation on a chain.
-func newRun(g *generation, c *chain.Chain) *run {
-	r := &run{chain: c, path: runPath{current: c}, generation: g, startedAt: time.Now(), eventsBefore: g.eventsForwarded}
-	r.resumable = g.mayFail()
+// newRun returns a run of a generation on a chain, given the number of events that earlier runs sent to
+// the caller and of the attempts that they used up.
+func newRun(g *generation, c *chain.Chain, eventsBefore int64, attemptsBefore int) *run {
+	r := &run{chain: c, path: runPath{current: c}, generation: g, startedAt: time.Now(), eventsBefore: eventsBefore, attemptsBefore: attemptsBefore}
 	r.stallRun = stall.Run{ExpectedFirstEvent: c.ExpectedFirstEvent, GapObjective: g.route.GapObjective, LastEvent: r.startedAt}
 	r.stallRun.Stages, r.stallRun.DataCentres = stageServers(c.Stages)
 	return r
@@ -87,13 +93,23 @@
 // It is derived from the monotonic clock, because the wall clock may jump.
 func (r *run) lastActivity() time.Time { return r.startedAt.Add(time.Duration(r.eventOffset.Load())) }
 
-// recordEvents records events that arrived at now and reports whether they are the first
-// ones.
-func (r *run) recordEvents(now time.Time, events int) (first bool) {
-	first = r.events.Add(int64(events)) == int64(events)
+// hasProgress reports whether the caller has got events of the run, so that another run can begin after
+// them while this one goes on.
+func (r *run) hasProgress() bool { return r.events.Load() > 0 && r.lastNumber.Load() > 0 }
+
+// isResumable reports whether another run may continue the stream.
+func (r *run) isResumable() bool {
+	return r.generation.mayRunAfter(r.attemptsBefore + int(r.failedMoves.Load()) + 1)
+}
+
+// recordEvents records events that arrived at now, of which the caller had got some before, and reports
+// whether they are the first ones.
+func (r *run) recordEvents(now time.Time, events, repeated int) (first bool) {
+	r.events.Add(int64(events))
+	first = r.produced.Add(int64(events+repeated)) == int64(events+repeated)
 	r.eventOffset.Store(int64(now.Sub(r.startedAt)))
 	if first {
-		r.firstEventAt, r.firstEvents = now, int64(events)
+		r.firstEventAt, r.firstEvents = now, int64(events+repeated)
 	}
 	r.lastEventAt = now
 	return first
@@ -102,7 +118,7 @@
 // measured returns how long the run took so far, or false if it had too few events to tell the
 // time per token.
 func (r *run) measured(tokensPerEvent int) (pace.Expectation, bool) {
-	following := r.events.Load() - r.firstEvents
+	following := r.produced.Load() - r.firstEvents
 	if following <= 0 {
 		return pace.Expectation{}, false
 	}
@@ -126,8 +142,13 @@
 }
 
 // markEnded marks the run as ended and returns the chain that was reserved to replace its
-// chain, if any. The caller must use or release that chain.
-func (r *run) markEnded() *chain.Chain { return r.reservedChain.Swap(runEnded) }
+// chain, if any. The caller must use or drop it.
+func (r *run) markEnded() *replacement {
+	if next := r.replacement.Swap(runEnded); next != runEnded {
+		return next
+	}
+	return nil
+}
 
 // runSet holds the runs in progress. It is safe for concurrent use.
 type runSet struct {
@@ -167,7 +188,7 @@
 	runs := c.g.activeRuns.all(nil)
 	watched := make([]*stall.Run, len(runs))
 	for i, r := range runs {
-		r.stallRun.LastEvent, r.stallRun.Events = r.lastActivity(), r.events.Load()
+		r.stallRun.LastEvent, r.stallRun.Events = r.lastActivity(), r.produced.Load()
 		watched[i] = &r.stallRun
 	}
 	c.stallWatch.Check(now, watched)
@@ -209,14 +230,14 @@
 			blamedServers[blamed] = true
 			r.generation.gate.recordRefusal(blamed)
 		}
-		if cause != nil && r.resumable && now.After(r.nextMigrationAt) {
+		if cause != nil && r.isResumable() && now.After(r.nextMigrationAt) {
 			r.nextMigrationAt = now.Add(migrationRetryInterval)
-			spendBudget := r.generation.spendForResume
+			d := departure{cause: cause, spendBudget: r.generation.spendForResume}
 			if isMigration(cause) {
-				spendBudget = r.generation.spendForMigration
+				d.spendBudget = r.generation.spendForMigration
 			}
-			if r.generation.reserveReplacement(r, spendBudget, nil) {
-				r.cancel(cause)
+			if c.leave(r, d) {
+				r.nextMigrationAt = now.Add(moveRetryInterval)
 				continue
 			}
 		}
@@ -279,11 +300,12 @@
 func (g *generation) spendForMigration() bool { return g.spendRetryBudget(g.service, "draining", true) }
 
 // reserveReplacement reserves another chain, without any server in avoid, for a run and reports
-// whether it did. If none is available, this VM does not begin the run there because it stops, or the
+// whether it did. The run ends before another one begins there, unless m is given: then it ends once m
+// has begun. If none is available, this VM does not begin the run there because it stops, or the
 // retry budget is used up, the run stays on its chain, which may recover; otherwise its server ends
 // the run.
-func (g *generation) reserveReplacement(r *run, spendBudget func() bool, avoid map[fleet.UpstreamID]bool) bool {
-	if r.reservedChain.Load() != nil || g.timeRemaining() < minRunTime {
+func (g *generation) reserveReplacement(r *run, m *move, spendBudget func() bool, avoid map[fleet.UpstreamID]bool) bool {
+	if r.replacement.Load() != nil || g.timeRemaining() < minRunTime {
 		return false
 	}
 	events := r.eventsBefore + r.events.Load()
@@ -295,8 +317,14 @@
 		g.gate.release(g.request, next)
 		return false
 	}
-	if !r.reservedChain.CompareAndSwap(nil, next) { // the run ended in the meantime
+	if m != nil {
+		m.prepare(r, next)
+	}
+	if !r.replacement.CompareAndSwap(nil, &replacement{chain: next, move: m}) { // the run ended in the meantime
 		g.gate.release(g.request, next)
+		if m != nil {
+			m.cancel(nil)
+		}
 		return false
 	}
 	g.gate.recordRetry()
--- a/pkg/handover/handover.go
+++ b/pkg/handover/handover.go
@@ -10,7 +10,8 @@
 //   - a stopping VM accepts no generation that another VM could serve, once callers had time
 //     to learn of that VM, and none that is not expected to end before its exit;
 //   - a stopping VM begins further runs of an answer of which the caller has a part until it exits
-//     (see BeginsRun).
+//     (see BeginsRun);
+//   - no VM ends a run that may be sound before another one has begun in its place (see Leaves).
 package handover
 
 import (
@@ -149,6 +150,40 @@
 	return v.EndsBeforeExit(now, r.Longest)
 }
 
+// Departure describes a run that should leave its chain, because a server of the chain is about to end
+// or has failed.
+type Departure struct {
+	// MayBeSound is set unless the run is known to have failed.
+	MayBeSound bool
+	// ServersEnd is the earliest time at which a server of its chain is expected to end; zero if none is.
+	ServersEnd time.Time
+}
+
+// Way is how a run leaves its chain.
+type Way int
+
+const (
+	// Stay means that the run goes on where it is.
+	Stay Way = iota
+	// BeginFirst means that the run ends once another one has begun on another chain.
+	BeginFirst
+	// EndFirst means that the run ends before another one begins.
+	EndFirst
+)
+
+// Leaves decides how a run leaves its chain. Nothing that may be sound is given up for what may be
+// refused: the run goes on until its successor has begun, and stays if this VM exits before a server
+// of its chain ends. A run that has failed holds memory of engines for nothing.
+func (v *VM) Leaves(d Departure) Way {
+	switch {
+	case !d.MayBeSound:
+		return EndFirst
+	case v.Stopping && !v.ExitDeadline.After(d.ServersEnd):
+		return Stay
+	}
+	return BeginFirst
+}
+
 // AcceptsPlain reports whether a VM accepts a request of a plain service now that lasts at most a
 // given time. The time is that of the route or of the caller, which most requests stay far below,
 // so that it is not applied to the requests that the platform excuses.
--- a/pkg/handover/handover_test.go
+++ b/pkg/handover/handover_test.go
@@ -211,3 +211,17 @@
 		is.True(!begins(self, seconds, true, time.Hour))
 	}
 }
+
+// TestSoundRunsStayUntilTheirSuccessorBegins guards against sound runs that are given up for a chain that
+// may refuse, or although their VM exits before any engine of theirs ends, and against runs that have
+// failed and wait for a successor.
+func TestSoundRunsStayUntilTheirSuccessorBegins(t *testing.T) {
+	is := is.New(t)
+	running, self := handover.VM{}, stopping("self", 0)
+	is.Equal(running.Leaves(handover.Departure{MayBeSound: true, ServersEnd: at(2)}), handover.BeginFirst)
+	is.Equal(running.Leaves(handover.Departure{ServersEnd: at(2)}), handover.EndFirst)
+	is.Equal(self.Leaves(handover.Departure{MayBeSound: true, ServersEnd: at(7.2)}), handover.BeginFirst)
+	is.Equal(self.Leaves(handover.Departure{MayBeSound: true, ServersEnd: at(7.3)}), handover.Stay) // the VM exits then
+	is.Equal(self.Leaves(handover.Departure{MayBeSound: true}), handover.BeginFirst)                // no server is known to end
+	is.Equal(self.Leaves(handover.Departure{ServersEnd: at(9)}), handover.EndFirst)
+}
