Orders to engines wait for what passes through the layers that they give up

What callers saw: 5 to 63 streams of several VMs broke off within milliseconds at sound engines; those that had been moved before were lost, as both attempts of their route were used up.

Cause: an engine that was to keep none of its layers was ordered to drop them at once (mode cut) if its data centre lacked layers. Chains cross data centres and begin there all the same.

The log field cut goes with it.

Why it works: the engine itself knows what passes through it, also what another VM sent a moment ago.

The stand-in engine follows the mode of an order.

--- a/pkg/gateway/orderconflict_test.go
+++ b/pkg/gateway/orderconflict_test.go
@@ -70,7 +70,7 @@
 		g.notices = newNotices()
 		g.servers = platform.NewServerClient((&net.Dialer{Timeout: time.Second}).DialContext)
 		l := &leader{g: g, orders: make(map[fleet.UpstreamID]*placementOrder), fencingToken: 1}
-		l.orderLayers(context.Background(), time.Now(), &catalog.Engine{Layers: 8}, roster.Upstream{ID: "e", Address: server.Listener.Addr().String()}, fleet.LayerRange{First: 2, End: 6}, false)
+		l.orderLayers(context.Background(), time.Now(), &catalog.Engine{Layers: 8}, roster.Upstream{ID: "e", Address: server.Listener.Addr().String()}, fleet.LayerRange{First: 2, End: 6})
 		g.tasks.Wait()
 		is.Equal(engine.placed, c.placed)
 	}
--- a/pkg/gateway/orders.go
+++ b/pkg/gateway/orders.go
@@ -48,9 +48,6 @@
 // FullSpeedLoads.
 func (l *leader) placeServiceLayers(ctx context.Context, now time.Time, v *view, id catalog.ServiceID, service *catalog.Service) {
 	engines := make([]layout.Engine, 0, len(v.upstreams))
-	// serving holds the engines with their current layers; engines has the layers expected
-	// after pending orders.
-	serving := make([]layout.Engine, 0, len(v.upstreams))
 	byID := make(map[fleet.UpstreamID]roster.Upstream, len(v.upstreams))
 	l.mu.Lock()
 	for _, u := range v.upstreams {
@@ -59,7 +56,6 @@
 		}
 		byID[u.ID] = u
 		engine := layout.Engine{ID: u.ID, DataCentre: u.DataCentre, Card: service.Engine.Cards[u.Card], HeldLayers: u.Layers, Unavailable: v.ejected[u.ID]}
-		serving = append(serving, engine)
 		engine.HeldLayers = l.expectedLayers(now, u)
 		engine.Settling = l.isSettling(now, u)
 		engines = append(engines, engine)
@@ -91,12 +87,7 @@
 		limit = max(0, max(service.Engine.FullSpeedLoads, 1)-loading)
 	}
 	for _, id := range layout.NextLoads(service.Engine, engines, plan, wanted, limit) {
-		u, target := byID[id], plan[id]
-		// An engine normally waits for the requests on its layers before it drops them, which
-		// takes as long as a generation. It gives them up at once if it keeps none of its layers
-		// and its data centre lacks layers: few chains can then be running on it.
-		disjoint := target.First >= u.Layers.End || target.End <= u.Layers.First
-		l.orderLayers(ctx, now, service.Engine, u, target, disjoint && !layout.HoldsAllLayers(service.Engine, serving, u.DataCentre))
+		l.orderLayers(ctx, now, service.Engine, byID[id], plan[id])
 	}
 }
 
@@ -248,9 +239,9 @@
 
 // orderLayers records a pending order and starts a goroutine, so that an unresponsive engine
 // delays no other. The goroutine requests a report and, unless the engine is busy, paused,
-// stopping or holds the layers already, orders it to hold target. With abortRequests, the engine
-// gives its layers up without waiting for the requests on them.
-func (l *leader) orderLayers(ctx context.Context, now time.Time, e *catalog.Engine, u roster.Upstream, target fleet.LayerRange, abortRequests bool) {
+// stopping or holds the layers already, orders it to hold target. The engine waits for the requests
+// on the layers that it gives up: any VM may have sent some just now.
+func (l *leader) orderLayers(ctx context.Context, now time.Time, e *catalog.Engine, u roster.Upstream, target fleet.LayerRange) {
 	loadDuration := time.Duration(float64(e.LoadTime) * float64(target.Len()) / float64(max(e.Layers, 1)))
 	pending := &placementOrder{engineStartedAt: u.Born, target: target, orderedAt: now, loadDeadline: now.Add(loadDuration + orderTimeout)}
 	l.mu.Lock()
@@ -270,7 +261,7 @@
 		if report.Busy || report.Layers == target || l.isPausedOrEnding(u) {
 			return // the pending order stays and is repeated or forgotten as if it had been sent
 		}
-		order := platform.Order{Layers: target, FencingToken: fencingToken, ExpectedOrders: report.AcceptedOrders, Cut: abortRequests}
+		order := platform.Order{Layers: target, FencingToken: fencingToken, ExpectedOrders: report.AcceptedOrders}
 		result, err := l.place(ctx, u, order)
 		if result == platform.OrderConflict {
 			if again, ok := l.reportAfterConflict(ctx, u, report); ok {
@@ -280,7 +271,7 @@
 		}
 		l.g.stats.Count("orders", "result", result.String())
 		l.g.log.Log(event.PlacementOrdered).Str("upstream", string(u.ID)).Stringer("layers", target).Stringer("held", report.Layers).
-			Uint64("epoch", fencingToken).Int("expected", report.AcceptedOrders).Bool("cut", abortRequests).Str("result", result.String()).AnErr("cause", err).Send()
+			Uint64("epoch", fencingToken).Int("expected", report.AcceptedOrders).Str("result", result.String()).AnErr("cause", err).Send()
 		if result == platform.OrderBegun || result == platform.OrderUnknown {
 			l.checkLoad(u, loadDuration)
 		}
--- a/pkg/standin/userplatform/engine.go
+++ b/pkg/standin/userplatform/engine.go
@@ -470,6 +470,7 @@
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Operation, ID, Path  string
+		Mode                 string
 		Source, To, Expected int
 		Token                uint64 `json:"fencing_token"`
 	}
@@ -493,13 +494,24 @@
 	}
 	e.fencingToken = o.Token
 	e.orderSequence++
+	if o.Mode == "cut" {
+		go e.CloseConnections() // waits for this handler
+	}
 	w.WriteHeader(http.StatusAccepted)
-	time.AfterFunc(e.LoadTime, func() {
-		e.mu.Lock()
-		e.layers = [2]int{o.Source, o.To}
+	time.AfterFunc(e.LoadTime, func() { e.load(o.Source, o.To) })
+}
+
+// load changes the layers once no stream that starts here needs those that it gives up.
+func (e *Engine) load(first, end int) {
+	e.mu.Lock()
+	if gaveUp := first > e.layers[0] || end < e.layers[1]; gaveUp && len(e.streams) > 0 {
 		e.mu.Unlock()
-		e.OnLayersChanged(e)
-	})
+		time.AfterFunc(e.LoadTime, func() { e.load(first, end) })
+		return
+	}
+	e.layers = [2]int{first, end}
+	e.mu.Unlock()
+	e.OnLayersChanged(e)
 }
 
 // checkPart reports whether the engine can run a part of a chain. If not, it returns the
