Planned ends of engines use up no attempts in the own front end

What callers saw: a stream of cornelline serve broke off when more engines ended in turn, as they had announced, than its session has attempts (4), although others could continue it.

Cause: each failed attempt counted.

Evidence: the test, with the count put back, ends after four attempts.

Change: an attempt that broke off while an engine of its chain that had announced its end doesn't answer its probe uses up none. Retry budget, deadline and caller bound such attempts as before.

Tests: TestPlannedEndsOfEnginesUseUpNoAttempts of pkg/pipeline, with five announced ends (failed before) and with five that were not announced (four attempts, before and now).

--- a/pkg/entry/planner.go
+++ b/pkg/entry/planner.go
@@ -72,6 +72,18 @@
 	return chain, nil
 }
 
+// Leaving returns the upstreams of a chain that have announced their end. It implements
+// pipeline.Planner.
+func (p *chainPlanner) Leaving(chain []pipeline.Stage) (leaving []fleet.UpstreamID) {
+	routes := p.server.fleetView().routes
+	for _, stage := range chain {
+		if e := routes.Engine(stage.Ref.Upstream); e != nil && e.Leaving {
+			leaving = append(leaving, e.ID)
+		}
+	}
+	return leaving
+}
+
 // readmit asks the quarantine again after an upstream crashed under the request: the
 // request may be the cause, and must then not crash the next upstream.
 func (p *chainPlanner) readmit(ctx context.Context) error {
--- a/pkg/pipeline/attempt_failed.go
+++ b/pkg/pipeline/attempt_failed.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"slices"
-	"time"
 
 	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/result"
@@ -11,15 +10,16 @@
 )
 
 // handleBroken closes the stream of the failed attempt and probes the stages for
-// their progress. The session gives up instead if it has used all its attempts.
-func (s *Session) handleBroken(err error, silentFor time.Duration) {
-	s.failure = err
+// their progress. The session gives up instead if it has used all its attempts, unless the probes may
+// show that this one broke off as an upstream ended according to plan.
+func (s *Session) handleBroken(b Broken) {
+	s.failure, s.leaving = b.Err, b.Leaving
 	if s.symptomAt.IsZero() {
-		s.symptomAt = s.now.Add(-silentFor)
+		s.symptomAt = s.now.Add(-b.SilentFor)
 	}
-	s.sent = s.sent || wasSent(err)
+	s.sent = s.sent || wasSent(b.Err)
 	s.emit(CloseStream{})
-	if s.attempt >= s.limits.MaxAttempts {
+	if s.attemptsUsedUp() && len(s.leaving) == 0 {
 		s.notifyFailed(diagnosis{})
 		s.giveUp(s.attemptsError())
 		return
@@ -34,6 +34,10 @@
 	s.emit(Probe{Stages: stages})
 }
 
+// attemptsUsedUp reports whether the session has no attempts left. Ends of upstreams that were announced
+// say nothing about the request and use up none.
+func (s *Session) attemptsUsedUp() bool { return s.attempt-s.plannedEnds >= s.limits.MaxAttempts }
+
 // wasSent reports whether the failed attempt may have run.
 func wasSent(err error) bool {
 	var failure *upstream.Error
@@ -46,10 +50,17 @@
 	s.record(reports)
 	d := s.diagnose(reports)
 	unreachableIDs := s.unreachable(d.suspects)
+	if len(s.unreachable(s.leaving)) > 0 {
+		s.plannedEnds++
+	}
 	s.exclude(d.suspects, func(id fleet.UpstreamID) bool { return slices.Contains(unreachableIDs, id) })
 	s.exclude(d.refusals, func(fleet.UpstreamID) bool { return true })
 	s.reuseFailed = false
 	s.notifyFailed(d)
+	if s.attemptsUsedUp() {
+		s.giveUp(s.attemptsError())
+		return
+	}
 	s.phase = awaitingBudget
 	s.emit(AskRetry{Blamed: d.suspects})
 }
--- a/pkg/pipeline/bench_test.go
+++ b/pkg/pipeline/bench_test.go
@@ -34,6 +34,8 @@
 // onePlan is a planner that always returns the same chain.
 type onePlan []pipeline.Stage
 
+func (onePlan) Leaving([]pipeline.Stage) []fleet.UpstreamID { return nil }
+
 func (p onePlan) Plan(context.Context, pipeline.PlanRequest) ([]pipeline.Stage, error) { return p, nil }
 
 type discard struct{}
--- a/pkg/pipeline/driver.go
+++ b/pkg/pipeline/driver.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cornelline/cornelline/pkg/fleet"
 	"github.com/cornelline/cornelline/pkg/result"
 	"github.com/cornelline/cornelline/pkg/upstream"
 )
@@ -150,7 +151,7 @@
 		return Received{Event: event}
 	}
 	if ctx.Err() != nil && r.ctx.Err() == nil {
-		return Broken{Err: ErrTokenTimeout, SilentFor: timeout}
+		return Broken{Err: ErrTokenTimeout, SilentFor: timeout, Leaving: r.leaving()}
 	}
 	return r.streamFailure(err)
 }
@@ -163,11 +164,14 @@
 	}
 	var silent *upstream.SilentError
 	if errors.As(err, &silent) {
-		return Broken{Err: err, SilentFor: silent.For}
+		return Broken{Err: err, SilentFor: silent.For, Leaving: r.leaving()}
 	}
-	return Broken{Err: err}
+	return Broken{Err: err, Leaving: r.leaving()}
 }
 
+// leaving returns the upstreams of the current chain that have announced their end.
+func (r *run) leaving() []fleet.UpstreamID { return r.planner.Leaving(r.session.chain) }
+
 // probe asks all stages concurrently for their progress.
 func (r *run) probe(stages []Stage) []Report {
 	ctx, cancel := context.WithTimeout(r.ctx, r.driver.limits.ProbeTimeout)
--- a/pkg/pipeline/driver_test.go
+++ b/pkg/pipeline/driver_test.go
@@ -38,6 +38,7 @@
 	onToken      func(n int)
 	onPlan       func(pipeline.PlanRequest)
 	denyRetry    bool
+	leaving      []fleet.UpstreamID
 	observations []pipeline.Observation
 	faultAt      time.Time
 }
@@ -116,6 +117,8 @@
 	return chain, nil
 }
 
+func (b *testBed) Leaving([]pipeline.Stage) []fleet.UpstreamID { return b.leaving }
+
 func (b *testBed) Token(token fleet.Token) error {
 	b.tokens = append(b.tokens, token)
 	b.onToken(len(b.tokens))
@@ -329,3 +332,37 @@
 		})
 	}
 }
+
+// TestPlannedEndsOfEnginesUseUpNoAttempts guards against a stream that breaks off when more engines in
+// turn end according to plan than a session has attempts, and against one that goes on from engine to
+// engine although it may be what ends them.
+func TestPlannedEndsOfEnginesUseUpNoAttempts(t *testing.T) {
+	const ends = 5
+	for name, announced := range map[string]bool{"announced": true, "unannounced": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				names := []string{"a", "b", "c", "d", "e", "f"}
+				b := newTestBed(50*time.Microsecond, names...)
+				defer b.close()
+				b.onToken = func(n int) {
+					if end := n/4 - 1; n%4 == 0 && end < ends {
+						if id := names[end] + "0"; announced {
+							b.leaving = append(b.leaving, fleet.UpstreamID(id))
+						}
+						b.fault(names[end]+"0", standin.Faults{Crashed: true})
+					}
+				}
+				got, err := b.run(t.Context(), "s")
+				if announced {
+					is.NoErr(err)
+					is.Equal(b.tokens, expected())
+					is.Equal(got.Attempts, ends+1)
+					return
+				}
+				is.Equal(result.From(err).Code, result.StreamBroken)
+				is.Equal(got.Attempts, 4)
+			})
+		})
+	}
+}
--- a/pkg/pipeline/messages.go
+++ b/pkg/pipeline/messages.go
@@ -30,6 +30,8 @@
 		// SilentFor is the time without any event on the stream before the failure was
 		// detected.
 		SilentFor time.Duration
+		// Leaving lists the upstreams of the chain that had announced their end.
+		Leaving []fleet.UpstreamID
 	}
 	// Probed answers Probe with one report per stage.
 	Probed struct{ Reports []Report }
--- a/pkg/pipeline/pipeline.go
+++ b/pkg/pipeline/pipeline.go
@@ -80,6 +80,8 @@
 // the retry-after time that the caller receives.
 type Planner interface {
 	Plan(ctx context.Context, request PlanRequest) ([]Stage, error)
+	// Leaving returns those of the stages' upstreams that have announced their end.
+	Leaving(chain []Stage) []fleet.UpstreamID
 }
 
 // Budget limits retries. AllowRetry is called once before each attempt after the
@@ -103,7 +105,8 @@
 
 // Limits bound a session. A value of 0 selects the default.
 type Limits struct {
-	// MaxAttempts is the maximum number of attempts of a session. Default 4.
+	// MaxAttempts is the maximum number of attempts of a session, without those that broke off as an
+	// upstream ended which had announced it. Default 4.
 	MaxAttempts int
 	// ProbeTimeout bounds the wait for a stage's progress report. Default 250ms.
 	ProbeTimeout time.Duration
