Comments on what continues a run

Cause: the comment of checkRuns described the former order of ends and begins. Change: comments only, and an unused parameter. Measured: tests of moves pass.

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -33,7 +33,7 @@
 	} else {
 		r = next.move.run
 		r.eventsBefore, r.attemptsBefore = g.eventsForwarded, g.attempts
-		execute = func(r *run) (sendOutcome, error) { return g.executeMoved(next.move) }
+		execute = func(*run) (sendOutcome, error) { return g.executeMoved(next.move) }
 	}
 	defer r.release() // also after a panic
 	defer func() { g.drop(r.markEnded()) }()
--- a/pkg/gateway/streams.go
+++ b/pkg/gateway/streams.go
@@ -182,8 +182,7 @@
 // checkRuns looks for runs that make no progress. It probes the servers of such a run on
 // which no other run has made progress since. A run through a server that was found dead, left a
 // probe unanswered or is about to end goes on without it by a change of its path. Where that is not
-// possible, and after a stall of unknown cause, it continues on another chain once one is reserved
-// for it.
+// possible, and after a stall of unknown cause, another run continues it on another chain (see leave).
 func (c *control) checkRuns(now time.Time) {
 	runs := c.g.activeRuns.all(nil)
 	watched := make([]*stall.Run, len(runs))
