Test of engines that crash alone: all crashes are over when requests begin to count

Change: an engine that gets no generation within 0.3 s crashes without one. The counts and bounds are the same.

--- a/pkg/gateway/crashingpart_test.go
+++ b/pkg/gateway/crashingpart_test.go
@@ -228,7 +228,7 @@
 		if first, _ := e.Layers(); first == 0 && crashed < 9 {
 			crashed++
 			time.AfterFunc(time.Duration(crashed)*500*time.Millisecond, func() {
-				e.SetCrash(userplatform.Crash{Once: true, Down: 700 * time.Millisecond})
+				e.CrashWithin(300*time.Millisecond, 700*time.Millisecond) // all are back when requests begin to count
 			})
 		}
 	}
--- a/pkg/standin/userplatform/engine.go
+++ b/pkg/standin/userplatform/engine.go
@@ -345,11 +345,32 @@
 	}
 	w.WriteHeader(http.StatusOK)
 	w.(http.Flusher).Flush()
-	go e.CloseConnections() // waits for this handler
-	time.AfterFunc(c.Down, e.startAgain)
+	e.end(c.Down)
 	panic(http.ErrAbortHandler)
 }
 
+// CrashWithin crashes the engine at the next generation, or after a time if none arrives until then.
+func (e *Engine) CrashWithin(limit, down time.Duration) {
+	e.SetCrash(Crash{Once: true, Down: down})
+	time.AfterFunc(limit, func() {
+		e.mu.Lock()
+		pending := e.crash.Once
+		if e.crash.Once = false; pending {
+			e.downUntil = time.Now().Add(down)
+		}
+		e.mu.Unlock()
+		if pending {
+			e.end(down)
+		}
+	})
+}
+
+// end breaks all connections and starts the engine again later.
+func (e *Engine) end(down time.Duration) {
+	go e.CloseConnections() // waits for handlers
+	time.AfterFunc(down, e.startAgain)
+}
+
 // SetResumeFault sets how requests that continue a stream are answered; see
 // Engine.resumeFault for the values.
 func (e *Engine) SetResumeFault(fault string) {
