One set-up for tests of long streams; one method takes a shared retry

Cause: deployLong, deployTwoAttempts and deployStopping of pkg/gateway repeated the same set-up, and SharedBudget.Allow had no caller but tests since Take names the limit.

Change: deployStreams serves all three; Allow is gone, its tests call Take with the same assertions. No behaviour changes.

--- a/pkg/gateway/plannedend_test.go
+++ b/pkg/gateway/plannedend_test.go
@@ -42,13 +42,7 @@
 // outlasts several ends of engines.
 func deployTwoAttempts(t *testing.T) (*deployment, openStream) {
 	t.Helper()
-	d := deploy(t)
-	for _, e := range d.engines {
-		e.EventCount, e.EventInterval = longStream, 25*time.Millisecond
-	}
-	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
-	d.start()
-	d.eventually("layers are placed", d.allHoldLayers)
+	d := deployStreams(t, 25*time.Millisecond)
 	return d, d.openStreamOf("s", userplatform.CallerRequest{Key: "k", Deadline: 20 * time.Second})
 }
 
--- a/pkg/gateway/reroute_test.go
+++ b/pkg/gateway/reroute_test.go
@@ -19,10 +19,20 @@
 
 // deployLong returns a running deployment whose streams last a few seconds.
 func deployLong(t *testing.T) *deployment {
+	t.Helper()
+	return deployStreams(t, 10*time.Millisecond)
+}
+
+// deployStreams returns a running deployment whose streams have longStream events. The options apply
+// before it starts.
+func deployStreams(t *testing.T, eventInterval time.Duration, options ...func(d *deployment)) *deployment {
 	t.Helper()
 	d := deploy(t)
+	for _, option := range options {
+		option(d)
+	}
 	for _, e := range d.engines {
-		e.EventCount, e.EventInterval = longStream, 10*time.Millisecond
+		e.EventCount, e.EventInterval = longStream, eventInterval
 	}
 	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
 	d.start()
--- a/pkg/gateway/stopstream_test.go
+++ b/pkg/gateway/stopstream_test.go
@@ -24,23 +24,17 @@
 // whenever a part of a chain arrives at an engine.
 func deployStopping(t *testing.T, onPart func(d *deployment), options ...func(d *deployment)) *deployment {
 	t.Helper()
-	d := deploy(t)
-	d.settings.Bounds.Grace, d.settings.Bounds.MinDrain = stopGrace, 500*time.Millisecond
-	for _, option := range options {
-		option(d)
-	}
-	for _, e := range d.engines {
-		e.EventCount, e.EventInterval = longStream, 15*time.Millisecond
-		e.OnRequest = func(path string) {
-			if path == "part" {
-				onPart(d)
+	stopping := func(d *deployment) {
+		d.settings.Bounds.Grace, d.settings.Bounds.MinDrain = stopGrace, 500*time.Millisecond
+		for _, e := range d.engines {
+			e.OnRequest = func(path string) {
+				if path == "part" {
+					onPart(d)
+				}
 			}
 		}
 	}
-	d.store.Put("keyed.op", "config", config(1, 2000, "k"))
-	d.start()
-	d.eventually("layers are placed", d.allHoldLayers)
-	return d
+	return deployStreams(t, 15*time.Millisecond, append([]func(d *deployment){stopping}, options...)...)
 }
 
 // orderStop orders the VM to stop and waits until it does.
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -166,14 +166,9 @@
 	LimitShare Limit = "share"
 )
 
-// Allow takes one retry from the budget if that is possible and reports whether it did.
-// migration is set for a run that could stay on its upstream. random is a random number
+// Take takes one retry from the budget if that is possible, and returns the limit that denies it
+// otherwise. migration is set for a run that could stay on its upstream. random is a random number
 // in [0, 1).
-func (p *SharedBudget) Allow(now time.Time, migration bool, random float64) bool {
-	return p.Take(now, migration, random) == NoLimit
-}
-
-// Take is Allow that names the limit which denies the retry.
 func (p *SharedBudget) Take(now time.Time, migration bool, random float64) Limit {
 	own, recentGrants := p.Usage(now), p.recentlyGranted(now)
 	all := own
--- a/pkg/retry/shared_test.go
+++ b/pkg/retry/shared_test.go
@@ -95,7 +95,7 @@
 				requests++
 			}
 			for range f.retriesWanted(i) {
-				if !v.budget.Allow(f.now, false, f.random.Float64()) {
+				if v.budget.Take(f.now, false, f.random.Float64()) != retry.NoLimit {
 					break
 				}
 				f.granted[i]++
@@ -220,12 +220,12 @@
 	now := time.Unix(1e9, 0)
 	p := retry.NewSharedBudget(retry.SharedBudgetConfig{SharedLimits: platformBudget, RecentVMs: 1, ReachableVMs: 1, PropagationTime: tick, MigrationShare: migrationShare}, now)
 	migrations := 0
-	for p.Allow(now, true, 0.5) {
+	for p.Take(now, true, 0.5) == retry.NoLimit {
 		migrations++
 	}
 	is.True(float64(migrations) <= migrationShare*platformBudget.Slack)
 	failures := 0
-	for p.Allow(now, false, 0.5) {
+	for p.Take(now, false, 0.5) == retry.NoLimit {
 		failures++
 	}
 	is.True(float64(failures) >= 0.8*platformBudget.Slack-float64(migrations))
